--- a/src/main/java/reeddale/Decide.java
+++ b/src/main/java/stoatrill/Decide.java
@@ -1,4 +1,4 @@
-package reeddale;
+package stoatrill;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import reeddale.Gateway.*;
+import stoatrill.Gateway.*;
 
 /**
  * The decision module. Its interface, the types, events and actions, is {@code Gateway.java}.
--- a/src/main/java/reeddale/Gateway.java
+++ b/src/main/java/stoatrill/Gateway.java
@@ -1,4 +1,4 @@
-package reeddale;
+package stoatrill;
 
 import java.util.List;
 
--- a/src/main/java/reeddale/wire/FrameReader.java
+++ b/src/main/java/stoatrill/wire/FrameReader.java
@@ -1,4 +1,4 @@
-package reeddale.wire;
+package stoatrill.wire;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/reeddale/wire/Loop.java
+++ b/src/main/java/stoatrill/wire/Loop.java
@@ -1,4 +1,4 @@
-package reeddale.wire;
+package stoatrill.wire;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -8,8 +8,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import reeddale.Decide;
-import reeddale.Gateway;
+import stoatrill.Decide;
+import stoatrill.Gateway;
 
 /** Hosts many instances of the module: reads batches, hands out their events, writes the replies. */
 public final class Loop {
--- a/src/main/java/reeddale/wire/SettingsParser.java
+++ b/src/main/java/stoatrill/wire/SettingsParser.java
@@ -1,20 +1,20 @@
-package reeddale.wire;
+package stoatrill.wire;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import reeddale.Gateway.Check;
-import reeddale.Gateway.Effect;
-import reeddale.Gateway.Limits;
-import reeddale.Gateway.ListedRole;
-import reeddale.Gateway.Need;
-import reeddale.Gateway.Replication;
-import reeddale.Gateway.RequestClass;
-import reeddale.Gateway.Rules;
-import reeddale.Gateway.Scope;
-import reeddale.Gateway.Settings;
-import reeddale.Gateway.Tenant;
+import stoatrill.Gateway.Check;
+import stoatrill.Gateway.Effect;
+import stoatrill.Gateway.Limits;
+import stoatrill.Gateway.ListedRole;
+import stoatrill.Gateway.Need;
+import stoatrill.Gateway.Replication;
+import stoatrill.Gateway.RequestClass;
+import stoatrill.Gateway.Rules;
+import stoatrill.Gateway.Scope;
+import stoatrill.Gateway.Settings;
+import stoatrill.Gateway.Tenant;
 
 /** Turns the settings' path=value lines into records. Keys that are not known are skipped. */
 final class SettingsParser {
--- a/src/main/java/reeddale/wire/package-info.java
+++ b/src/main/java/stoatrill/wire/package-info.java
@@ -1,2 +1,2 @@
 /** The adapter between the simulator's wire and the module. It translates and decides nothing. */
-package reeddale.wire;
+package stoatrill.wire;
--- a/src/test/java/reeddale/DecideTest.java
+++ b/src/test/java/stoatrill/DecideTest.java
@@ -1,22 +1,22 @@
-package reeddale;
+package stoatrill;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static reeddale.Recorder.ANY;
-import static reeddale.Recorder.BOUNDED;
-import static reeddale.Recorder.MS;
-import static reeddale.Recorder.SESSION;
-import static reeddale.Recorder.WRITE;
+import static stoatrill.Recorder.ANY;
+import static stoatrill.Recorder.BOUNDED;
+import static stoatrill.Recorder.MS;
+import static stoatrill.Recorder.SESSION;
+import static stoatrill.Recorder.WRITE;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import reeddale.Gateway.Check;
-import reeddale.Gateway.Effect;
-import reeddale.Gateway.Result;
-import reeddale.Gateway.Role;
-import reeddale.Gateway.Scope;
+import stoatrill.Gateway.Check;
+import stoatrill.Gateway.Effect;
+import stoatrill.Gateway.Result;
+import stoatrill.Gateway.Role;
+import stoatrill.Gateway.Scope;
 
 class DecideTest {
   private Recorder gateway = start(Effect.UNSAFE, Scope.GROUP);
--- a/src/test/java/reeddale/EmbeddingExampleTest.java
+++ b/src/test/java/stoatrill/EmbeddingExampleTest.java
@@ -1,4 +1,4 @@
-package reeddale;
+package stoatrill;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/reeddale/ModuleSizeTest.java
+++ b/src/test/java/stoatrill/ModuleSizeTest.java
@@ -1,4 +1,4 @@
-package reeddale;
+package stoatrill;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,7 +13,7 @@
 
   @Test
   void theModuleKeepsItsLimits() throws IOException {
-    List<String> lines = Files.readAllLines(Path.of("src/main/java/reeddale/Decide.java"));
+    List<String> lines = Files.readAllLines(Path.of("src/main/java/stoatrill/Decide.java"));
     long count = lines.stream().filter(line -> !line.isBlank()).count();
     assertTrue(count <= 850, count + " lines");
     lines.forEach(line -> assertTrue(line.length() <= 110, "too long: " + line));
--- a/src/test/java/reeddale/wire/CodecTest.java
+++ b/src/test/java/stoatrill/wire/CodecTest.java
@@ -1,4 +1,4 @@
-package reeddale.wire;
+package stoatrill.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
