Serve clients on real sockets: reducer, pg codec, discovery and event loop

The module had an adapter for the simulator only. Main now has serve, one router on NIO sockets round the same Decide, and simhost, the adapter under its new name.

core.Reducer is the one place where state changes and implements Gateway without sockets or clock; net.EventLoop carries out its effects; pg, http, discovery and config are the project's own parsers and readers; JSON is read by Gson.

--- a/src/main/java/stoatrill/Main.java
+++ b/src/main/java/stoatrill/Main.java
@@ -4,29 +4,70 @@
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import stoatrill.config.Config;
+import stoatrill.config.ConfigException;
+import stoatrill.net.EventLoop;
+import stoatrill.pg.PgClient;
+import stoatrill.pg.PgServer;
 import stoatrill.wire.Loop;
 import stoatrill.wire.MalformedInputException;
 
-/** The command line: {@code drill} runs the adapter on standard input and output. */
+/**
+ * The command line: {@code serve} runs one router on sockets, {@code simhost} runs the same decisions on the
+ * simulator's wire, on standard input and output.
+ */
 public final class Main {
 
   private Main() {}
 
-  /** Exits with 0 at the end of input, 1 on malformed input or a broken pipe, 2 on wrong arguments. */
+  /** Exits with 0 at an orderly end, 1 on bad input or a failure, 2 on wrong usage or configuration. */
   public static void main(String[] args) {
-    if (args.length != 1 || !args[0].equals("drill")) {
-      System.err.println("usage: java -jar stoatrill.jar drill");
-      System.exit(2);
+    String command = args.length == 1 ? args[0] : "";
+    switch (command) {
+      case "serve" -> serve();
+      case "simhost" -> simhost();
+      default -> exit(2, "usage: java -jar stoatrill.jar serve|simhost");
     }
+  }
+
+  private static void serve() {
+    CountDownLatch ended = new CountDownLatch(1);
+    try {
+      EventLoop loop = new EventLoop(Config.read(System.getenv()), PgClient::new, PgServer::new);
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+        loop.stop();
+        try {
+          ended.await(); // the process ends when the hook does: only once all is answered
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      }));
+      try {
+        loop.run();
+      } finally {
+        ended.countDown();
+      }
+    } catch (ConfigException e) {
+      exit(2, e.getMessage());
+    } catch (IOException e) {
+      exit(1, e.getMessage());
+    }
+  }
+
+  private static void simhost() {
     try (BufferedInputStream in = new BufferedInputStream(System.in, 1 << 16);
         FileOutputStream out = new FileOutputStream(FileDescriptor.out)) {
       new Loop(in, out).run();
     } catch (MalformedInputException e) {
-      System.err.println("stoatrill: malformed input: " + e.getMessage());
-      System.exit(1);
+      exit(1, "malformed input: " + e.getMessage());
     } catch (IOException e) {
-      System.err.println("stoatrill: " + e.getMessage());
-      System.exit(1);
+      exit(1, e.getMessage());
     }
   }
+
+  private static void exit(int status, String line) {
+    System.err.println("stoatrill: " + line);
+    System.exit(status);
+  }
 }
--- /dev/null
+++ b/src/main/java/stoatrill/config/Config.java
@@ -0,0 +1,113 @@
+package stoatrill.config;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import stoatrill.Gateway;
+import stoatrill.wire.MalformedInputException;
+import stoatrill.wire.SettingsParser;
+
+/**
+ * What a router is told: the file named by {@code PROXY_CONFIG}, and the variables, which go before it.
+ * {@code known} is the list last held, in discovery's form.
+ */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+    int sockets, String known, Gateway.Settings settings, List<String> zones, List<String> models,
+    long connIdle, long connectTimeout, int mostHeld) {
+
+  private static final int USUAL_SOCKETS = 1024;
+
+  /** Reads the environment and the file that it names. */
+  public static Config read(Map<String, String> environment) throws ConfigException {
+    String file = environment.get("PROXY_CONFIG");
+    if (file == null) {
+      throw new ConfigException("PROXY_CONFIG is not set");
+    }
+    try {
+      return parse(Files.readString(Path.of(file), StandardCharsets.UTF_8), environment);
+    } catch (IOException | InvalidPathException e) {
+      throw new ConfigException("can't read PROXY_CONFIG " + file + ": " + e.getClass().getSimpleName());
+    }
+  }
+
+  static Config parse(String text, Map<String, String> environment) throws ConfigException {
+    try {
+      JsonObject all = JsonParser.parseString(text).getAsJsonObject();
+      Map<String, String> paths = new HashMap<>();
+      flatten("", all.getAsJsonObject("settings"), paths);
+      SettingsParser.Setup setup = SettingsParser.parse(paths);
+      JsonObject limits = all.has("limits") ? all.getAsJsonObject("limits") : new JsonObject();
+      return new Config(text(all, "name", environment.get("PROXY_NAME"), "router"),
+          Endpoint.parse(text(all, "listen", environment.get("PROXY_LISTEN"), "")),
+          Endpoint.parse(text(all, "discovery", environment.get("PROXY_DISCOVERY"), "")),
+          seed(text(all, "seed", null, "0")),
+          limits.has("sockets") ? limits.get("sockets").getAsInt() : USUAL_SOCKETS,
+          all.has("known") ? all.get("known").toString() : null,
+          setup.settings(), names(paths, "zones"), names(paths, "hostTypes"),
+          whole(paths, "allowed.connIdle", 30_000_000_000L),
+          whole(paths, "allowed.connectTimeout", 250_000_000L),
+          (int) Math.min(Integer.MAX_VALUE, whole(paths, "allowed.mostHeld", 20_000)));
+    } catch (MalformedInputException e) {
+      throw new ConfigException(e.getMessage());
+    } catch (JsonParseException | IllegalStateException | ClassCastException | NumberFormatException
+        | NullPointerException e) {
+      throw new ConfigException("the configuration is not of the form expected: "
+          + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+    }
+  }
+
+  /** Turns nested JSON into the simulator's pairs of path and value, which have one parser for both. */
+  private static void flatten(String path, JsonElement value, Map<String, String> into) {
+    if (value instanceof JsonObject object) {
+      object.entrySet().forEach(e ->
+          flatten(path.isEmpty() ? e.getKey() : path + "." + e.getKey(), e.getValue(), into));
+    } else if (value instanceof JsonArray array) {
+      if (array.size() > 0 && array.get(0).isJsonObject()) {
+        into.put(path + ".count", Integer.toString(array.size()));
+        for (int i = 0; i < array.size(); i++) {
+          flatten(path + "." + i, array.get(i), into);
+        }
+      } else {
+        StringBuilder joined = new StringBuilder();
+        array.forEach(e -> joined.append(joined.length() > 0 ? "," : "").append(e.getAsString()));
+        into.put(path, joined.toString());
+      }
+    } else if (value != null && value.isJsonPrimitive()) {
+      into.put(path, value.getAsString());
+    }
+  }
+
+  private static String text(JsonObject from, String name, String instead, String otherwise) {
+    return instead != null ? instead : from.has(name) ? from.get(name).getAsString() : otherwise;
+  }
+
+  private static List<String> names(Map<String, String> paths, String path) {
+    String joined = paths.getOrDefault(path, "");
+    return joined.isEmpty() ? List.of() : List.of(joined.split(","));
+  }
+
+  private static long whole(Map<String, String> paths, String path, long otherwise) {
+    String text = paths.get(path);
+    return text == null ? otherwise : Long.parseLong(text);
+  }
+
+  /** Hexadecimal by custom; any other text is as good a source. */
+  private static long seed(String text) {
+    try {
+      return Long.parseUnsignedLong(text, 16);
+    } catch (NumberFormatException e) {
+      return text.hashCode();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/stoatrill/config/package-info.java
@@ -0,0 +1,2 @@
+/** What the platform tells a router at its start. */
+package stoatrill.config;
--- /dev/null
+++ b/src/main/java/stoatrill/core/ClientRequest.java
@@ -0,0 +1,15 @@
+package stoatrill.core;
+
+/**
+ * A request as a client protocol understood it.
+ *
+ * @param kind the name of its class
+ * @param key the session, or the record asked for
+ * @param group the group of servers that may serve it
+ * @param waitMillis how long the client waits
+ * @param afterMillis Unix time of the session's last write; 0 if it has none
+ * @param repeat whether the client marked it as a repeat
+ * @param writes whether the statement changes data
+ */
+public record ClientRequest(String kind, String key, int group, long waitMillis, long afterMillis,
+    boolean repeat, boolean writes, Statement statement) {}
--- /dev/null
+++ b/src/main/java/stoatrill/core/Reducer.java
@@ -0,0 +1,510 @@
+package stoatrill.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import stoatrill.Decide;
+import stoatrill.Gateway;
+
+/**
+ * The one place where state changes: what the sockets saw goes in by the public methods, what they are to do
+ * comes out through {@link Effects}. It owns the requests, their attempts, the probes and the connections to
+ * servers, and it is the {@link Gateway} that the module's decisions act through.
+ *
+ * <p>The module's actions are queued and carried out once the event that caused them has returned, so that
+ * the module is never called from within itself.
+ */
+public final class Reducer implements Gateway, ServerPool.Owner {
+  private static final long MILLI = 1_000_000L;
+  private static final long PROBE_TIMEOUT = 500 * MILLI;
+  /** A read decided on longer ago than this is looked at again before it is written. */
+  private static final long DECISION_KEEPS = 2 * MILLI;
+  /** How long after its deadline a request without a final answer is failed; inside the rules' slack. */
+  private static final long BACKSTOP = 5 * MILLI;
+  private static final long LONGEST_WAIT_MILLIS = 600_000;
+  /** The part of the time after which servers close idle connections that they rest here. */
+  private static final double IDLE_PART = 0.7;
+
+  /** What the reducer is set up with beside the module's settings; spans are in nanoseconds. */
+  public record Setup(Settings settings, List<String> zones, List<String> models, long connectTimeout,
+      long connIdle, int mostHeld, int serverConnections, long seed) {}
+
+  private final Effects effects;
+  private final Clocks clocks;
+  private final Setup setup;
+  private final Deadlines deadlines;
+  private final Invariants invariants = new Invariants();
+  private final ServerPool pool;
+  private final Decide module;
+  private final Map<String, RequestClass> classes = new HashMap<>();
+  private final Map<String, Integer> classPlaces = new HashMap<>();
+  private final Map<Long, Request> requests = new HashMap<>();
+  private final Map<Long, Map<Long, Request>> open = new HashMap<>();
+  private final Map<String, ServerPool.Server> byUid = new HashMap<>();
+  private final List<ServerPool.Server> servers = new ArrayList<>();
+  private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
+  private long now;
+  private long requestIds = 1;
+  private int unanswered;
+  private boolean inModule;
+
+  /** A reducer that has not been told of any server yet: {@link #members} comes first. */
+  public Reducer(Effects effects, Clocks clocks, Deadlines deadlines, Setup setup) {
+    this.effects = effects;
+    this.deadlines = deadlines;
+    this.clocks = clocks;
+    this.setup = setup;
+    this.pool = new ServerPool(effects, deadlines, this, new ServerPool.Limits(setup.serverConnections(),
+        setup.connectTimeout(), (long) (setup.connIdle() * IDLE_PART)));
+    for (RequestClass c : setup.settings().classes()) {
+      classPlaces.put(c.name(), classes.size());
+      classes.put(c.name(), c);
+    }
+    this.module = new Decide(this, setup.settings(), setup.seed());
+  }
+
+  // ---- Events: clients ----
+
+  /** A request's last byte was read; {@code slot} is the client connection's own number for it. */
+  public void request(long at, long client, long slot, ClientRequest asked) {
+    now = at;
+    RequestClass kind = classes.get(asked.kind());
+    if (kind == null) {
+      effects.answer(client, slot, new Answer.Invalid("unknown class \"" + asked.kind() + "\""));
+      return;
+    }
+    if (asked.writes() != (kind.need() == Need.WRITE)) {
+      // Guards uploads: a statement that writes must not go out under a class that may be repeated.
+      effects.answer(client, slot, new Answer.Invalid("class \"" + kind.name() + "\" is not for this statement"));
+      return;
+    }
+    if (unanswered >= setup.mostHeld()) {
+      effects.answer(client, slot, new Answer.Refused(0));
+      return;
+    }
+    long wait = Math.max(0, Math.min(LONGEST_WAIT_MILLIS, asked.waitMillis())) * MILLI;
+    Request r = new Request(requestIds++, client, slot, asked, kind, now + wait);
+    requests.put(r.id, r);
+    open.computeIfAbsent(client, c -> new LinkedHashMap<>()).put(slot, r);
+    unanswered++;
+    r.backstop = deadlines.at(r.deadline + BACKSTOP, () -> overdue(r));
+    long token = asked.afterMillis() > 0 ? Math.max(1, now - clocks.fromWallMillis(asked.afterMillis())) : 0;
+    tell(() -> module.request(now, r.id, key(asked.key()), asked.group(), r.deadline, token, asked.repeat(),
+        classPlaces.get(kind.name()), 0));
+  }
+
+  /** A client's connection has ended: nobody waits for its requests any more. */
+  public void clientGone(long at, long client) {
+    now = at;
+    Map<Long, Request> left = open.remove(client);
+    if (left != null) {
+      for (Request r : left.values()) {
+        finish(r, null);
+        tell(() -> module.left(now, r.id));
+      }
+    }
+  }
+
+  /** How many requests are owed a final answer. */
+  public int unanswered() {
+    return unanswered;
+  }
+
+  // ---- Events: servers ----
+
+  /** A connection to a server is up and takes queries. */
+  public void connected(long at, long id) {
+    now = at;
+    ServerPool.Connection c = pool.get(id);
+    if (c != null) {
+      pool.connected(now, c);
+      drain();
+    }
+  }
+
+  /** The last byte of what was asked is out: from now on it may have run. */
+  public void written(long id) {
+    ServerPool.Connection c = pool.get(id);
+    if (c != null && c.attempt != null) {
+      c.attempt.state = Attempt.State.OUT;
+    }
+  }
+
+  /** A server has answered; {@code reusable} if its connection takes another query. */
+  public void answered(long at, long id, ServerAnswer answer, boolean reusable) {
+    now = at;
+    ServerPool.Connection c = pool.get(id);
+    if (c == null) {
+      return;
+    }
+    Attempt a = c.attempt;
+    if (a == null || !reusable) {
+      pool.drop(c); // an answer that nobody asked for leaves the connection's state unknown
+    }
+    if (a == null) {
+      return;
+    }
+    end(a, answer.result(), answer);
+    if (reusable) {
+      pool.rest(now, c);
+    }
+    drain();
+  }
+
+  /** A connection has ended; {@code full} if the server turned it away because it holds too many. */
+  public void broken(long at, long id, boolean full) {
+    now = at;
+    ServerPool.Connection c = pool.get(id);
+    if (c == null) {
+      return;
+    }
+    Attempt a = c.attempt;
+    pool.broken(now, c, full);
+    if (a != null) {
+      // Before the last byte the server can't have begun; after it there is no telling.
+      end(a, a.state == Attempt.State.OUT ? Result.RESET : Result.CONNECT_FAILED, null);
+    }
+    drain();
+  }
+
+  // ---- Events: discovery and time ----
+
+  /** News of the list of servers; the first call, with the list last held, starts the module. */
+  public void members(long at, ListKind kind, List<ServerEntry> entries) {
+    now = at;
+    List<Member> members = new ArrayList<>(entries.size());
+    for (ServerEntry e : entries) {
+      ServerPool.Server s = byUid.get(e.uid());
+      if (s == null) {
+        s = new ServerPool.Server(servers.size(), e.endpoint());
+        byUid.put(e.uid(), s);
+        servers.add(s);
+      }
+      if (!s.endpoint.equals(e.endpoint())) {
+        pool.dropIdle(s);
+        s.endpoint = e.endpoint();
+      }
+      long started = e.bootMillis() <= 0 ? 0 : Math.min(now, clocks.fromWallMillis(e.bootMillis()));
+      members.add(new Member(s.id, e.group(), place(setup.zones(), e.zone()), place(setup.models(), e.model()),
+          e.size(), started, e.primary(), e.state()));
+      if (e.state() == State.GONE) {
+        pool.dropIdle(s);
+      }
+    }
+    tell(() -> module.members(now, kind, members));
+  }
+
+  /** Time has passed: sweeps the deadlines. Returns when the next one is due. */
+  public long tick(long at) {
+    now = at;
+    deadlines.sweep(now);
+    drain();
+    pool.refill(now);
+    drain();
+    return deadlines.next();
+  }
+
+  /** What was found broken that must hold, and how often. */
+  public Map<String, Long> brokenInvariants() {
+    return invariants.broken();
+  }
+
+  // ---- The module and its actions ----
+
+  /** Calls the module, then carries out what it asked for. */
+  private void tell(Runnable event) {
+    call(event);
+    drain();
+  }
+
+  private void call(Runnable event) {
+    if (!invariants.hold(!inModule, "the module is not called from within itself")) {
+      actions.add(() -> call(event));
+      return;
+    }
+    inModule = true;
+    try {
+      event.run();
+    } catch (RuntimeException e) {
+      // Guards the other requests from a failure of the module; the one at fault ends by its backstop.
+      invariants.hold(false, "the module does not throw");
+      effects.log("decision failed: " + e);
+    } finally {
+      inModule = false;
+    }
+  }
+
+  private void drain() {
+    Runnable action;
+    while ((action = actions.poll()) != null) {
+      action.run();
+    }
+  }
+
+  @Override
+  public void send(long request, long server, long timeout) {
+    actions.add(() -> start(request, servers.get((int) server), timeout));
+  }
+
+  private void start(long id, ServerPool.Server server, long timeout) {
+    Request r = requests.get(id);
+    if (!invariants.hold(r != null, "a send names a request that was taken")) {
+      return;
+    }
+    Attempt a = new Attempt(r, r.attempts.size(), server, now);
+    r.attempts.add(a);
+    r.out++;
+    if (r.over || a.number >= setup.settings().limits().attempts() || now >= r.deadline) {
+      end(a, Result.MOOT, null);
+      return;
+    }
+    long until = timeout > 0 ? Math.min(now + timeout, r.deadline) : r.deadline;
+    a.timeout = deadlines.at(until, () -> stop(a, Result.TIMEOUT));
+    pool.take(now, a);
+  }
+
+  @Override
+  public void probe(long server) {
+    actions.add(() -> {
+      Attempt a = new Attempt(null, 0, servers.get((int) server), now);
+      a.timeout = deadlines.at(now + PROBE_TIMEOUT, () -> stop(a, Result.TIMEOUT));
+      pool.take(now, a);
+    });
+  }
+
+  @Override
+  public void cancel(long request, int attempt) {
+    actions.add(() -> {
+      Request r = requests.get(request);
+      if (r != null && attempt < r.attempts.size()) {
+        stop(r.attempts.get(attempt), Result.CANCELLED);
+      }
+    });
+  }
+
+  @Override
+  public void refuse(long request, long comeBack) {
+    actions.add(() -> last(request, new Answer.Refused((comeBack + MILLI - 1) / MILLI)));
+  }
+
+  @Override
+  public void fail(long request) {
+    actions.add(() -> last(request, new Answer.Failed("no server answered in time")));
+  }
+
+  private void last(long id, Answer answer) {
+    Request r = requests.get(id);
+    if (r == null || r.over) {
+      return;
+    }
+    if (answer instanceof Answer.Refused && r.kind.effect() == Effect.UNSAFE && mayHaveRun(r)) {
+      // Guards uploads: a refusal says that a repeat is harmless.
+      invariants.hold(false, "an upload that may have run is not refused");
+      answer = new Answer.Failed("the outcome is not known");
+    }
+    finish(r, answer);
+  }
+
+  private static boolean mayHaveRun(Request r) {
+    return r.attempts.stream().anyMatch(a -> a.mayHaveRun || a.state == Attempt.State.OUT);
+  }
+
+  @Override
+  public void timer(long span, long token) {
+    actions.add(() -> deadlines.at(now + span, () -> tell(() -> module.timer(now, token))));
+  }
+
+  @Override
+  public void dropIdle(long server) {
+    actions.add(() -> pool.dropIdle(servers.get((int) server)));
+  }
+
+  @Override
+  public void tell(int peer, byte[] message) {
+    invariants.hold(false, "routers share nothing");
+  }
+
+  @Override
+  public void follow(boolean on) {
+    actions.add(() -> effects.watch(on));
+  }
+
+  @Override
+  public void fetch() {
+    actions.add(effects::fetch);
+  }
+
+  @Override
+  public void log(String line) {
+    effects.log(line);
+  }
+
+  // ---- Attempts ----
+
+  @Override
+  public boolean write(ServerPool.Connection c, Attempt a) {
+    if (a.request == null) {
+      c.attempt = a;
+      a.connection = c;
+      a.state = Attempt.State.WRITING;
+      effects.probe(c.id);
+      return true;
+    }
+    if (staleByNow(a)) {
+      actions.add(() -> end(a, Result.MOOT, null));
+      return false;
+    }
+    c.attempt = a;
+    a.connection = c;
+    a.state = Attempt.State.WRITING;
+    effects.query(c.id, a.request.asked.statement(), Math.max(1, (a.request.deadline - now) / MILLI));
+    return true;
+  }
+
+  /**
+   * Whether what is known of the server no longer satisfies a bounded read that waited for its connection.
+   * Guards the rule on the age of data, whose bound is counted from the last byte of the send.
+   */
+  private boolean staleByNow(Attempt a) {
+    RequestClass kind = a.request.kind;
+    return kind.need() == Need.BOUNDED && now - a.sentAt > DECISION_KEEPS
+        && setup.settings().replication().check() == Check.NONE
+        && a.server.role != Role.PRIMARY && a.server.position < now - kind.bound();
+  }
+
+  @Override
+  public void unconnected(Attempt a, boolean full) {
+    actions.add(() -> end(a, full ? Result.FULL : Result.CONNECT_FAILED, null));
+  }
+
+  /** Stops waiting for an attempt, by its time-out or by the module's wish. */
+  private void stop(Attempt a, Result why) {
+    if (a.state == Attempt.State.ENDED) {
+      return;
+    }
+    if (a.state == Attempt.State.WAITING) {
+      pool.withdraw(a);
+      end(a, why == Result.TIMEOUT ? Result.CONNECT_FAILED : Result.MOOT, null);
+      return;
+    }
+    pool.drop(a.connection); // the way to abandon an attempt
+    end(a, why, null);
+  }
+
+  private void end(Attempt a, Result result, ServerAnswer answer) {
+    if (a.state == Attempt.State.ENDED) {
+      return;
+    }
+    a.state = Attempt.State.ENDED;
+    a.mayHaveRun = !result.certain || result == Result.OK;
+    if (a.timeout != null) {
+      a.timeout.cancel();
+    }
+    if (a.connectBy != null) {
+      a.connectBy.cancel();
+    }
+    Report report = answer == null ? null : report(answer.report());
+    learn(a.server, answer, report);
+    Request r = a.request;
+    if (r == null) {
+      call(() -> module.probed(now, a.server.id, now - a.sentAt, result, report));
+      return;
+    }
+    r.out--;
+    if (result == Result.OK && !r.over) {
+      finish(r, new Answer.Served(answer.value()));
+    }
+    long position = answer == null || answer.positionMillis() < 0 ? NO_POSITION
+        : clocks.fromWallMillis(answer.positionMillis());
+    Role role = answer == null ? Role.UNKNOWN : answer.role();
+    boolean over = r.over;
+    if (over && r.out == 0) {
+      requests.remove(r.id);
+    }
+    call(() -> module.outcome(now, r.id, a.number, a.server.id, result, now - a.sentAt, over, position, role,
+        report));
+  }
+
+  private void learn(ServerPool.Server server, ServerAnswer answer, Report report) {
+    if (answer == null) {
+      return;
+    }
+    if (answer.positionMillis() >= 0) {
+      server.position = Math.max(server.position, clocks.fromWallMillis(answer.positionMillis()));
+    }
+    if (answer.role() != Role.UNKNOWN) {
+      server.role = answer.role();
+    }
+    if (report != null && report.position() != NO_POSITION) {
+      server.position = Math.max(server.position, report.position());
+    }
+  }
+
+  private Report report(Map<String, Double> fields) {
+    if (fields == null) {
+      return null;
+    }
+    Double position = fields.get("x0");
+    Double primary = fields.get("x1");
+    return new Report(position == null ? NO_POSITION : clocks.fromWallSeconds(position),
+        primary == null ? Role.UNKNOWN : primary == 1 ? Role.PRIMARY : Role.REPLICA,
+        fields.getOrDefault("q", -1.0), fields.getOrDefault("rif", -1.0));
+  }
+
+  // ---- Final answers ----
+
+  /** Ends a request with its one final answer; null where nobody is there to take it. */
+  private void finish(Request r, Answer answer) {
+    if (!invariants.hold(!r.over, "a request has one final answer")) {
+      return;
+    }
+    r.over = true;
+    r.backstop.cancel();
+    unanswered--;
+    if (r.out == 0) {
+      requests.remove(r.id);
+    }
+    Map<Long, Request> ofClient = open.get(r.client);
+    if (ofClient != null) {
+      ofClient.remove(r.slot);
+      if (ofClient.isEmpty()) {
+        open.remove(r.client);
+      }
+    }
+    if (answer != null) {
+      effects.answer(r.client, r.slot, answer);
+    }
+  }
+
+  /** Guards the rule on answers should the module ever leave a request without one. */
+  private void overdue(Request r) {
+    if (!r.over) {
+      invariants.hold(false, "the module answers before the deadline");
+      finish(r, new Answer.Failed("no answer before the deadline"));
+      call(() -> module.left(now, r.id));
+    }
+  }
+
+  private static int place(List<String> names, String name) {
+    return Math.max(0, names.indexOf(name));
+  }
+
+  /** The key as a number: hexadecimal text as it reads, anything else by a hash of 64 bits. */
+  private static long key(String key) {
+    if (key.length() == 16) {
+      try {
+        return Long.parseUnsignedLong(key, 16);
+      } catch (NumberFormatException e) {
+        // not hexadecimal: hashed below
+      }
+    }
+    long hash = 0xcbf29ce484222325L;
+    for (int i = 0; i < key.length(); i++) {
+      hash = (hash ^ key.charAt(i)) * 0x100000001b3L;
+    }
+    return hash;
+  }
+}
--- /dev/null
+++ b/src/main/java/stoatrill/core/Request.java
@@ -0,0 +1,29 @@
+package stoatrill.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import stoatrill.Gateway.RequestClass;
+import stoatrill.core.Deadlines.Deadline;
+
+/** A request that was taken, from its last byte until its final answer and the end of its last attempt. */
+final class Request {
+  final long id;
+  final long client;
+  final long slot;
+  final ClientRequest asked;
+  final RequestClass kind;
+  final long deadline;
+  final List<Attempt> attempts = new ArrayList<>(2);
+  int out;
+  boolean over;
+  Deadline backstop;
+
+  Request(long id, long client, long slot, ClientRequest asked, RequestClass kind, long deadline) {
+    this.id = id;
+    this.client = client;
+    this.slot = slot;
+    this.asked = asked;
+    this.kind = kind;
+    this.deadline = deadline;
+  }
+}
--- /dev/null
+++ b/src/main/java/stoatrill/net/EventLoop.java
@@ -0,0 +1,591 @@
+package stoatrill.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import stoatrill.Gateway;
+import stoatrill.config.Config;
+import stoatrill.core.Answer;
+import stoatrill.core.ClientRequest;
+import stoatrill.core.Clocks;
+import stoatrill.core.Deadlines;
+import stoatrill.core.Effects;
+import stoatrill.core.Reducer;
+import stoatrill.core.ServerAnswer;
+import stoatrill.core.ServerEntry;
+import stoatrill.core.Statement;
+import stoatrill.discovery.DiscoveryClient;
+import stoatrill.discovery.ServerList;
+
+/** One thread and one selector: turns what the sockets do into events, and carries out the effects. */
+public final class EventLoop implements Effects, DiscoveryClient.Peer {
+  private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
+  private static final long MILLI = 1_000_000L;
+  private static final int BUFFER = 64 * 1024;
+  private static final int BACKLOG = 512;
+  /** Bytes that a client may leave unread before nothing more is read from it. */
+  private static final long MOST_QUEUED = 512 * 1024;
+  /** Descriptors for the listener, discovery, the selector and the machine's own files. */
+  private static final int RESERVED = 64;
+  /** The part of the other descriptors that may go to servers. */
+  private static final double SERVER_PART = 0.4;
+  /** After SIGTERM the front still sends new connections for up to 0.4 s. */
+  private static final long ACCEPT_ON = 500 * MILLI;
+  private static final long LEAST_STOP = 3_000 * MILLI;
+  private static final long STOP_SLACK = 600 * MILLI;
+  private static final long LINGER = 1_000 * MILLI;
+  private static final long ACCEPT_PAUSE = 100 * MILLI;
+  private static final long COMPARE_CLOCKS = 1_000 * MILLI;
+
+  private final Config config;
+  private final Function<ClientProtocol.Peer, ClientProtocol> clientProtocol;
+  private final Function<ServerProtocol.Peer, ServerProtocol> serverProtocol;
+  private final Selector selector;
+  private final ServerSocketChannel listener;
+  private final SelectionKey accepts;
+  private final Clocks clocks;
+  private final Deadlines deadlines = new Deadlines();
+  private final Reducer reducer;
+  private final DiscoveryClient discovery;
+  private final ByteBuffer buffer = ByteBuffer.allocateDirect(BUFFER);
+  private final Map<Long, ServerLink> servers = new HashMap<>();
+  private final Map<Long, ClientLink> clients = new LinkedHashMap<>();
+  private final ArrayDeque<Runnable> later = new ArrayDeque<>();
+  private final int mostClients;
+  private DiscoveryLink discoveryLink;
+  private long clientIds;
+  private boolean ready;
+  private volatile boolean stopAsked;
+  private boolean stopping;
+  private boolean draining;
+  private boolean stopped;
+
+  /** Listens already; clients are served by {@link #run}. */
+  public EventLoop(Config config, Function<ClientProtocol.Peer, ClientProtocol> clientProtocol,
+      Function<ServerProtocol.Peer, ServerProtocol> serverProtocol) throws IOException {
+    this.config = config;
+    this.clientProtocol = clientProtocol;
+    this.serverProtocol = serverProtocol;
+    this.clocks = new Clocks(wall(), System.nanoTime());
+    int sockets = Math.max(16, config.sockets() - RESERVED);
+    int serverSockets = (int) (sockets * SERVER_PART);
+    this.mostClients = sockets - serverSockets;
+    this.reducer = new Reducer(this, clocks, deadlines, new Reducer.Setup(config.settings(), config.zones(),
+        config.models(), config.connectTimeout(), config.connIdle(), config.mostHeld(), serverSockets,
+        config.seed()));
+    ServerList known = known(config.known());
+    InetSocketAddress at = config.discovery();
+    this.discovery = new DiscoveryClient(this, deadlines, at.getAddress().getHostAddress() + ":" + at.getPort(),
+        known.version());
+    this.selector = Selector.open();
+    this.listener = ServerSocketChannel.open();
+    listener.configureBlocking(false);
+    listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+    listener.bind(config.listen(), BACKLOG);
+    this.accepts = listener.register(selector, SelectionKey.OP_ACCEPT);
+    ready = !known.entries().isEmpty();
+    reducer.members(now(), Gateway.ListKind.CACHED, known.entries());
+    compareClocks();
+  }
+
+  private static ServerList known(String json) {
+    if (json != null) {
+      try {
+        return ServerList.parse(json);
+      } catch (ServerList.BadListException e) {
+        LOG.warn("the list known at start is of no use: {}", e.getMessage());
+      }
+    }
+    return new ServerList(-1, true, List.of());
+  }
+
+  private static long wall() {
+    Instant now = Instant.now();
+    return now.getEpochSecond() * 1_000_000_000L + now.getNano();
+  }
+
+  private long now() {
+    return clocks.now(System.nanoTime());
+  }
+
+  private void compareClocks() {
+    clocks.compare(wall(), System.nanoTime());
+    deadlines.at(now() + COMPARE_CLOCKS, this::compareClocks);
+  }
+
+  Selector selector() {
+    return selector;
+  }
+
+  /** Where clients connect. */
+  public InetSocketAddress address() throws IOException {
+    return (InetSocketAddress) listener.getLocalAddress();
+  }
+
+  /** Serves until {@link #stop} was called and all that was taken is answered. */
+  public void run() throws IOException {
+    while (!stopped) {
+      long next = later.isEmpty() ? reducer.tick(now()) : 0;
+      long wait = later.isEmpty() ? next - now() : 0;
+      if (wait > 0) {
+        selector.select(Math.min(1000, (wait + MILLI - 1) / MILLI));
+      } else {
+        selector.selectNow();
+      }
+      turn();
+    }
+    LOG.info("stopped; invariants broken: {}", reducer.brokenInvariants());
+    listener.close();
+    selector.close();
+  }
+
+  /** Asks for an orderly end; may be called from any thread. */
+  public void stop() {
+    stopAsked = true;
+    selector.wakeup();
+  }
+
+  private void turn() throws IOException {
+    List<Link> fromClients = new ArrayList<>();
+    boolean accept = false;
+    // Servers first: what they tell, and what has ended, is known before the next request is routed.
+    for (SelectionKey key : selector.selectedKeys()) {
+      if (key.attachment() instanceof ClientLink client) {
+        fromClients.add(client);
+      } else if (key.attachment() instanceof Link link) {
+        handle(link);
+      } else {
+        accept = true;
+      }
+    }
+    selector.selectedKeys().clear();
+    fromClients.forEach(this::handle);
+    if (accept && listener.isOpen()) {
+      accept();
+    }
+    for (int n = later.size(); n > 0; n--) {
+      later.poll().run();
+    }
+    if (stopAsked) {
+      wind();
+    }
+  }
+
+  private void handle(Link link) {
+    try {
+      if (link.open()) {
+        link.handle(buffer);
+      }
+    } catch (RuntimeException e) {
+      // Guards all other connections from a failure on one.
+      LOG.error("connection dropped", e);
+      link.fail();
+    }
+  }
+
+  // ---- Stopping ----
+
+  private void wind() throws IOException {
+    if (!stopping) {
+      stopping = true;
+      long longest = config.settings().classes().stream().mapToLong(c -> c.giveUp()).max().orElse(0);
+      deadlines.at(now() + ACCEPT_ON, () -> draining = true);
+      deadlines.at(now() + Math.max(LEAST_STOP, longest) + STOP_SLACK, () -> stopped = true);
+    }
+    if (draining) {
+      listener.close();
+      for (ClientLink client : List.copyOf(clients.values())) {
+        client.release();
+      }
+      stopped |= clients.isEmpty() && reducer.unanswered() == 0;
+    }
+  }
+
+  // ---- Clients ----
+
+  private void accept() {
+    try {
+      SocketChannel channel;
+      while ((channel = listener.accept()) != null) {
+        boolean room = clients.size() < mostClients || shed();
+        ClientLink client = new ClientLink(clientIds++, channel);
+        clients.put(client.id, client);
+        if (!room) {
+          client.protocol.turnAway();
+        }
+      }
+    } catch (IOException e) {
+      // Guards against spinning on a connection that can't be accepted for want of descriptors.
+      LOG.warn("accept failed: {}", e.getMessage());
+      accepts.interestOps(0);
+      deadlines.at(now() + ACCEPT_PAUSE, () -> {
+        if (accepts.isValid()) {
+          accepts.interestOps(SelectionKey.OP_ACCEPT);
+        }
+      });
+    }
+  }
+
+  /** Closes the longest idle client connection; false if all are at work. */
+  private boolean shed() {
+    for (ClientLink client : clients.values()) {
+      if (!client.protocol.busy()) {
+        client.end();
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private final class ClientLink extends Link implements ClientProtocol.Peer {
+    private final long id;
+    private final ClientProtocol protocol;
+    private boolean closing;
+    private boolean half;
+
+    ClientLink(long id, SocketChannel channel) throws IOException {
+      super(EventLoop.this, channel, SelectionKey.OP_READ);
+      this.id = id;
+      this.protocol = clientProtocol.apply(this);
+    }
+
+    @Override
+    public void request(long slot, ClientRequest request) {
+      reducer.request(now(), id, slot, request);
+    }
+
+    @Override
+    public boolean ready() {
+      return ready;
+    }
+
+    @Override
+    void received(ByteBuffer bytes) {
+      if (!half) {
+        clients.remove(id); // the longest idle one is the first
+        clients.put(id, this);
+        protocol.received(bytes);
+        pace();
+      }
+    }
+
+    void answer(long slot, Answer answer) {
+      protocol.answer(slot, answer);
+      pace();
+    }
+
+    private void pace() {
+      interest(SelectionKey.OP_READ, half || closing || (!protocol.congested() && queued() < MOST_QUEUED));
+    }
+
+    @Override
+    public void write(byte[] bytes) {
+      if (!open()) {
+        return;
+      }
+      try {
+        if (put(bytes)) {
+          flushed();
+        }
+      } catch (IOException e) {
+        later.add(this::fail);
+      }
+    }
+
+    @Override
+    void flushed() {
+      pace();
+      if (closing) {
+        halfClose();
+      }
+    }
+
+    /** Called by the protocol: ends the connection once all is out. */
+    @Override
+    public void close() {
+      closing = true;
+      if (open() && queued() == 0) {
+        halfClose();
+      }
+    }
+
+    /**
+     * Ends sending and reads on until the client ends too. Guards the last answer: closing with bytes unread
+     * would reset the connection and could take the answer with it.
+     */
+    private void halfClose() {
+      if (half || !open()) {
+        return;
+      }
+      half = true;
+      try {
+        channel().shutdownOutput();
+        deadlines.at(now() + LINGER, this::end);
+      } catch (IOException e) {
+        later.add(this::end);
+      }
+    }
+
+    /** In the course of stopping: ends the connection if nothing is under way on it. */
+    void release() {
+      if (half || !open() || protocol.busy()) {
+        return;
+      }
+      try {
+        // A request may have come in since the last look: it is answered first.
+        if (!read(buffer) && open() && !protocol.busy() && queued() == 0) {
+          halfClose();
+        }
+      } catch (IOException e) {
+        fail();
+      }
+    }
+
+    void end() {
+      if (open()) {
+        shut();
+        lost();
+      }
+    }
+
+    @Override
+    void lost() {
+      clients.remove(id);
+      reducer.clientGone(now(), id);
+    }
+  }
+
+  @Override
+  public void answer(long client, long slot, Answer answer) {
+    ClientLink link = clients.get(client);
+    if (link != null) {
+      link.answer(slot, answer);
+    }
+  }
+
+  // ---- Servers ----
+
+  private final class ServerLink extends Link implements ServerProtocol.Peer {
+    private final long id;
+    private final ServerProtocol protocol;
+    private boolean asked;
+
+    ServerLink(long id, SocketChannel channel) throws IOException {
+      super(EventLoop.this, channel, SelectionKey.OP_CONNECT);
+      this.id = id;
+      this.protocol = serverProtocol.apply(this);
+    }
+
+    @Override
+    void connected() {
+      say(protocol.greeting());
+    }
+
+    void ask(byte[] query) {
+      asked = true;
+      say(query);
+    }
+
+    private void say(byte[] bytes) {
+      try {
+        if (put(bytes)) {
+          flushed();
+        }
+      } catch (IOException e) {
+        later.add(this::fail);
+      }
+    }
+
+    @Override
+    void flushed() {
+      if (asked) {
+        reducer.written(id);
+      }
+    }
+
+    @Override
+    void received(ByteBuffer bytes) {
+      protocol.received(bytes);
+    }
+
+    @Override
+    void lost() {
+      servers.remove(id);
+      protocol.ended();
+    }
+
+    @Override
+    public void connectedToServer() {
+      reducer.connected(now(), id);
+    }
+
+    @Override
+    public void answered(ServerAnswer answer, boolean reusable) {
+      asked = false;
+      reducer.answered(now(), id, answer, reusable);
+    }
+
+    @Override
+    public void broken(boolean full) {
+      if (servers.remove(id) != null) {
+        shut();
+      }
+      reducer.broken(now(), id, full);
+    }
+  }
+
+  @Override
+  public void open(long connection, InetSocketAddress endpoint) {
+    SocketChannel channel = null;
+    try {
+      channel = SocketChannel.open();
+      ServerLink link = new ServerLink(connection, channel);
+      servers.put(connection, link);
+      if (channel.connect(endpoint)) {
+        later.add(() -> link.up());
+      }
+    } catch (IOException e) {
+      servers.remove(connection);
+      closeQuietly(channel);
+      later.add(() -> reducer.broken(now(), connection, false));
+    }
+  }
+
+  private static void closeQuietly(SocketChannel channel) {
+    try {
+      if (channel != null) {
+        channel.close();
+      }
+    } catch (IOException e) {
+      // closed all the same
+    }
+  }
+
+  @Override
+  public void query(long connection, Statement statement, long waitMillis) {
+    ServerLink link = servers.get(connection);
+    if (link != null) {
+      link.ask(link.protocol.query(statement, waitMillis));
+    }
+  }
+
+  @Override
+  public void probe(long connection) {
+    ServerLink link = servers.get(connection);
+    if (link != null) {
+      link.ask(link.protocol.probe());
+    }
+  }
+
+  @Override
+  public void close(long connection) {
+    ServerLink link = servers.remove(connection);
+    if (link != null) {
+      link.shut();
+    }
+  }
+
+  // ---- Discovery ----
+
+  private final class DiscoveryLink extends Link {
+    DiscoveryLink(SocketChannel channel) throws IOException {
+      super(EventLoop.this, channel, SelectionKey.OP_CONNECT);
+    }
+
+    @Override
+    void connected() {
+      discovery.connected();
+    }
+
+    @Override
+    void received(ByteBuffer bytes) {
+      discovery.received(now(), bytes);
+    }
+
+    @Override
+    void lost() {
+      if (discoveryLink == this) {
+        discoveryLink = null;
+        discovery.broken(now());
+      }
+    }
+  }
+
+  @Override
+  public void open() {
+    SocketChannel channel = null;
+    try {
+      channel = SocketChannel.open();
+      DiscoveryLink link = new DiscoveryLink(channel);
+      discoveryLink = link;
+      if (channel.connect(config.discovery())) {
+        later.add(() -> link.up());
+      }
+    } catch (IOException e) {
+      discoveryLink = null;
+      closeQuietly(channel);
+      later.add(() -> discovery.broken(now()));
+    }
+  }
+
+  @Override
+  public void send(byte[] request) {
+    DiscoveryLink link = discoveryLink;
+    if (link == null) {
+      return;
+    }
+    try {
+      link.put(request);
+    } catch (IOException e) {
+      later.add(link::fail);
+    }
+  }
+
+  @Override
+  public void close() {
+    DiscoveryLink link = discoveryLink;
+    discoveryLink = null;
+    if (link != null) {
+      link.shut();
+    }
+  }
+
+  @Override
+  public void members(long now, Gateway.ListKind kind, List<ServerEntry> entries) {
+    reducer.members(now, kind, entries);
+    if (!ready && kind != Gateway.ListKind.FAILED) {
+      ready = true;
+      List.copyOf(clients.values()).forEach(c -> c.protocol.ready());
+    }
+  }
+
+  @Override
+  public void watch(boolean on) {
+    later.add(() -> discovery.follow(now(), on));
+  }
+
+  @Override
+  public void fetch() {
+    later.add(() -> discovery.fetch(now()));
+  }
+
+  @Override
+  public void log(String line) {
+    LOG.info(line);
+  }
+}
--- /dev/null
+++ b/src/main/java/stoatrill/pg/PgClient.java
@@ -0,0 +1,216 @@
+package stoatrill.pg;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import stoatrill.core.Answer;
+import stoatrill.net.ClientProtocol;
+
+/** A client's connection: startup, simple queries one after another, and answers in their order. */
+public final class PgClient implements ClientProtocol {
+  private static final int LONGEST_STARTUP = 10_000;
+  private static final int LONGEST_QUERY = 256 * 1024;
+  private static final int MOST_WAITING = 64;
+  /** Answers to commands that were read, oldest first; one that is null inside still has to come. */
+  private final ArrayDeque<Pending> pending = new ArrayDeque<>();
+  private final MessageReader in = new MessageReader(false, LONGEST_STARTUP);
+  private final Peer peer;
+  private boolean started;
+  private long slots;
+  private boolean closed;
+  private boolean skipping;
+
+  private static final class Pending {
+    final long slot;
+    final boolean awaitsReady;
+    byte[] answer;
+
+    Pending(long slot, boolean awaitsReady) {
+      this.slot = slot;
+      this.awaitsReady = awaitsReady;
+    }
+  }
+
+  public PgClient(Peer peer) {
+    this.peer = peer;
+  }
+
+  @Override
+  public void received(ByteBuffer bytes) {
+    if (closed) {
+      bytes.position(bytes.limit());
+      return;
+    }
+    in.append(bytes);
+    parse();
+  }
+
+  private void parse() {
+    try {
+      while (!closed && !started && in.next()) {
+        startup();
+      }
+      while (!closed && started && pending.size() < MOST_WAITING && in.next()) {
+        command();
+      }
+    } catch (PgException e) {
+      fatal(e.sqlState, e.getMessage());
+    }
+  }
+
+  private void startup() throws PgException {
+    int code = in.int32(0);
+    if (code == Messages.SSL_REQUEST || code == Messages.GSS_REQUEST) {
+      peer.write(new byte[] {'N'});
+    } else if (code == Messages.CANCEL_REQUEST) {
+      close(); // the protocol gives it no answer
+    } else if (code >>> 16 != 3) {
+      throw new PgException("0A000", "protocol version " + (code >>> 16) + " is not spoken");
+    } else if (in.size() < 5 || in.bytes(in.size() - 1, 1)[0] != 0) {
+      throw new PgException("08P01", "malformed startup message");
+    } else {
+      started = true;
+      in.expect(true, LONGEST_QUERY);
+      peer.write(Messages.welcome());
+    }
+  }
+
+  private void command() throws PgException {
+    int type = in.type();
+    if (skipping && type != 'S' && type != 'X') {
+      return; // after an error the extended protocol goes on at Sync
+    }
+    switch (type) {
+      case 'Q' -> query();
+      case 'X' -> close();
+      case 'S' -> {
+        skipping = false;
+        reply(Messages.readyForQuery());
+      }
+      case 'P', 'B', 'E', 'D', 'C' -> {
+        skipping = true;
+        reply(Messages.error("ERROR", "0A000", "only simple queries are spoken", null));
+      }
+      case 'F' -> reply(Messages.join(
+          Messages.error("ERROR", "0A000", "function calls are not spoken", null), Messages.readyForQuery()));
+      case 'H', 'd', 'c', 'f' -> { } // Flush, and the end of a copy that was never begun: no answer is due
+      default -> throw new PgException("08P01", "message type " + type + " is unknown");
+    }
+  }
+
+  private void query() throws PgException {
+    int end = in.stringEnd(0);
+    if (end != in.size() - 1) {
+      throw new PgException("08P01", "malformed query message");
+    }
+    byte[] statement = in.bytes(0, end);
+    if (blank(statement)) {
+      Pending empty = new Pending(-1, true);
+      pending.add(empty);
+      if (peer.ready()) {
+        empty.answer = Messages.join(Messages.emptyQuery(), Messages.readyForQuery());
+      }
+      flush();
+      return;
+    }
+    Pending waits = new Pending(slots++, false);
+    pending.add(waits);
+    try {
+      peer.request(waits.slot, PgStatement.parse(statement));
+    } catch (PgException e) {
+      waits.answer = Messages.join(Messages.error("ERROR", e.sqlState, e.getMessage(), null),
+          Messages.readyForQuery());
+      flush();
+    }
+  }
+
+  private static boolean blank(byte[] statement) {
+    for (byte b : statement) {
+      if (b > ' ' && b != ';') {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void reply(byte[] answer) {
+    Pending now = new Pending(-1, false);
+    now.answer = answer;
+    pending.add(now);
+    flush();
+  }
+
+  @Override
+  public void answer(long slot, Answer answer) {
+    for (Pending p : pending) {
+      if (p.slot == slot && p.answer == null) {
+        p.answer = word(answer);
+        break;
+      }
+    }
+    boolean wasCongested = congested();
+    flush();
+    if (wasCongested) {
+      parse();
+    }
+  }
+
+  private static byte[] word(Answer answer) {
+    byte[] body;
+    if (answer instanceof Answer.Served served) {
+      body = served.value();
+    } else if (answer instanceof Answer.Refused refused) {
+      body = Messages.error("ERROR", "53300", "no server has room, try again",
+          refused.comeBackMillis() > 0 ? Long.toString(refused.comeBackMillis()) : null);
+    } else if (answer instanceof Answer.Failed failed) {
+      body = Messages.error("ERROR", "58000", failed.why(), null);
+    } else {
+      body = Messages.error("ERROR", "22023", ((Answer.Invalid) answer).why(), null);
+    }
+    return Messages.join(body, Messages.readyForQuery());
+  }
+
+  @Override
+  public void ready() {
+    for (Pending p : pending) {
+      if (p.awaitsReady && p.answer == null) {
+        p.answer = Messages.join(Messages.emptyQuery(), Messages.readyForQuery());
+      }
+    }
+    flush();
+  }
+
+  private void flush() {
+    while (!pending.isEmpty() && pending.peek().answer != null) {
+      peer.write(pending.poll().answer);
+    }
+    if (closed && pending.isEmpty()) {
+      peer.close();
+    }
+  }
+
+  @Override
+  public boolean busy() {
+    return !pending.isEmpty() || in.partial();
+  }
+
+  @Override
+  public boolean congested() {
+    return pending.size() >= MOST_WAITING;
+  }
+
+  @Override
+  public void turnAway() {
+    fatal("53300", "too many connections");
+  }
+
+  /** Ends the conversation with an error, after the answers still owed. */
+  private void fatal(String sqlState, String text) {
+    reply(Messages.error("FATAL", sqlState, text, null));
+    close();
+  }
+
+  private void close() {
+    closed = true;
+    flush();
+  }
+}
--- a/src/main/java/stoatrill/wire/SettingsParser.java
+++ b/src/main/java/stoatrill/wire/SettingsParser.java
@@ -17,10 +17,15 @@
 import stoatrill.Gateway.Tenant;
 
 /** Turns the settings' path=value lines into records. Keys that are not known are skipped. */
-final class SettingsParser {
-  private final Map<String, String> values = new HashMap<>();
+public final class SettingsParser {
+  private final Map<String, String> values;
 
-  private SettingsParser(String text) throws MalformedInputException {
+  private SettingsParser(Map<String, String> values) {
+    this.values = values;
+  }
+
+  static Setup parse(String text) throws MalformedInputException {
+    Map<String, String> values = new HashMap<>();
     for (String line : text.split("\n")) {
       String trimmed = line.trim();
       if (trimmed.isEmpty()) {
@@ -32,15 +37,17 @@
       }
       values.put(trimmed.substring(0, equals), trimmed.substring(equals + 1));
     }
+    return parse(values);
   }
 
-  /** What an instance is told at its start, and what the adapter needs to translate for it. */
-  record Setup(Settings settings, long zero, String[] columns) {}
-
-  static Setup parse(String text) throws MalformedInputException {
-    return new SettingsParser(text).setup();
+  /** The settings from pairs of path and value. */
+  public static Setup parse(Map<String, String> values) throws MalformedInputException {
+    return new SettingsParser(values).setup();
   }
 
+  /** What an instance is told at its start, and what the adapter needs to translate for it. */
+  public record Setup(Settings settings, long zero, String[] columns) {}
+
   private Setup setup() throws MalformedInputException {
     List<RequestClass> classes = classes();
     List<Tenant> tenants = new ArrayList<>();
@@ -68,7 +75,7 @@
         number("overShareWorth"),
         limits, rules, replication, List.copyOf(classes), List.copyOf(tenants));
     String columns = values.getOrDefault("report.columns", "");
-    return new Setup(settings, whole("familyInfo.zero"),
+    return new Setup(settings, optional("familyInfo.zero", 0),
         columns.isEmpty() ? new String[0] : columns.split(","));
   }
 
