Let a few in flight crowd no server, so that idle replicas stay in use

A trace of each refusal showed replicas with 1 in flight and usualInFlight 0.0, expected 100 ms and so busy (over 90 ms), beside a primary with up to 41. Decide.expected was at fault: crowd = (1+1)/(0+1) doubles the expectation of a server that is hardly used, and so it is never used. Ruled out: handshakes (connect wait 0-1 ms in the trace), cold start (128 us to the first attempt), the sockets. AT_WORK now is the least that counts as usual.

--- a/src/main/java/stoatrill/Decide.java
+++ b/src/main/java/stoatrill/Decide.java
@@ -370,10 +370,11 @@
 
   /**
    * What a request sent now should take: the class's usual time by what is known of the server, stretched if
-   * more is in flight than usual.
+   * more is in flight than usual. A few in flight crowd no server. Guards against a replica that is used so
+   * little that a second request would make it look busy, so that it stays unused while the primary jams.
    */
   private double expected(Member m, Request r) {
-    double crowd = Math.max(1, (m.inFlight + 1) / (m.usualInFlight + 1));
+    double crowd = Math.max(1, (m.inFlight + 1) / (Math.max(AT_WORK, m.usualInFlight) + 1));
     return usual(r) * slowness(m) * crowd * (1 + reportedCrowd(m));
   }
 
