--- a/src/main/java/stoatrill/Decide.java
+++ b/src/main/java/stoatrill/Decide.java
@@ -26,7 +26,7 @@
   /** Smoothing runs by time, so that it means the same at any rate; one answer counts for so much at most. */
   private static final double USUAL_OVER = 2e9, SERVER_OVER = 3e9, MOST_NEW = 0.15;
   private static final double WORST = 8; // times the usual: more says nothing more about a server
-  private static final double BUSY = 0.6; // of the aim: a server expected to take longer is busy for a read
+  private static final double BUSY = 0.5; // of the aim: a server expected to take longer is busy for a read
   private static final double LEAST_PATIENCE = 0.2, MOST_PATIENCE = 1.0; // of the aim, by worth
   /** Overdue: so many times the usual time (one in ten by chance), but within a part of the aim. */
   private static final double OVERDUE = 2, OVERDUE_MOST = 0.6, MISSED = 4;
