Refuse a read only once every server is beyond its patience

Now a server beyond the read's patience is busy for it, the draw weighs the expected time, and a report's waiting fades over 0.3 s (it was 1 s, and kept empty servers unused).

--- a/src/main/java/stoatrill/Decide.java
+++ b/src/main/java/stoatrill/Decide.java
@@ -31,7 +31,7 @@
   /** Overdue: so many times the usual time (one in ten by chance), but within a part of the aim. */
   private static final double OVERDUE = 2, OVERDUE_MOST = 0.6, MISSED = 4;
   /** What a report shows waiting is a hint that fades; without the number in work, so many are at work. */
-  private static final double HINT_OVER = 1e9, AT_WORK = 4;
+  private static final double HINT_OVER = 0.3e9, AT_WORK = 4;
   private static final long STILL = 500 * MS; // a position that stood so long while others went on is stuck
   /** Faults that set a server aside: two nearly in a row, or more where all near it miss. */
   private static final double FAULTS = 1.5, CHANCE = 0.02;
@@ -251,9 +251,12 @@
     return may && !known && ask(m) && now - m.probedAt < PROBE_WAIT;
   }
 
-  /** Busy: the smoothed latency, at what is in flight now, nears the class's aim, or it refused as full. */
+  /**
+   * Busy: the smoothed latency, at what is in flight now, nears the class's aim or passes what the request is
+   * worth waiting for, or it refused as full. Guards against a refusal while another server has room.
+   */
   private boolean busy(Member m, Request r) {
-    return expected(m, r) > BUSY * r.kind.aim() || m.fullUntil > now;
+    return expected(m, r) > Math.min(BUSY * r.kind.aim(), patience(r)) || m.fullUntil > now;
   }
 
   /**
@@ -297,7 +300,7 @@
       if (m == r.group.primary || (m.zone == settings.zone()) != local || busy(m, r) || !open(m, r)) {
         continue;
       }
-      double load = slowness(m) * (m.inFlight + 1);
+      double load = expected(m, r) * (m.inFlight + 1);
       double weight = 1 / (load * load);
       sum += weight;
       if (random.nextDouble() * sum < weight) {
--- a/src/test/java/stoatrill/DecideTest.java
+++ b/src/test/java/stoatrill/DecideTest.java
@@ -348,6 +348,19 @@
     assertEquals(2, gateway.last());
   }
 
+  @Test
+  void aReadIsNotRefusedWhileAnotherServerIsWithinItsPatience() {
+    for (int i = 0; i < 40; i++) {
+      gateway.served(ANY);
+    }
+    gateway.report(2, 30, 33);
+    for (int i = 0; i < 20; i++) {
+      gateway.request(ANY);
+      assertNotEquals(2, gateway.last());
+    }
+    assertEquals(0, gateway.count("refuse"));
+  }
+
   @Test
   void anOverdueReadsServerIsAskedAndABadReportMovesTheRead() {
     gateway = Recorder.start(Recorder.settings(Effect.UNSAFE, Scope.GROUP, Check.NONE, true, true, 2));
