Send writes on to a primary that rests for its errors

It was the primary: reachable() wants it rested, no other member takes writes, so they were held to their end. An erring primary still serves a part of them; reachable() now tells rest for errors from rest for silence.

--- a/src/main/java/stoatrill/Decide.java
+++ b/src/main/java/stoatrill/Decide.java
@@ -99,7 +99,7 @@
     double slow = 1, crowd, usualInFlight, faults;
     long slowAt;
     int inFlight, strikes;
-    boolean still, lost, probing, doubted;
+    boolean still, lost, probing, doubted, erring;
     /** Last heard of at all; at rest until; last set aside. */
     long heardAt = NONE, restUntil = NONE, restAt, fullUntil, probedAt = NONE, reportAt;
     long coldSince = NONE, coldAt;
@@ -326,8 +326,13 @@
     return !m.draining && !m.gone;
   }
 
+  /**
+   * Whether a primary may be sent writes. One that rests for its errors answers and nobody stands in for it:
+   * guards against writes held until too late for a primary that still serves some of them.
+   */
   private boolean reachable(Member m) {
-    return !resting(m) && (listed(m) || (m.draining && now < m.toldAt + rules.drainGrace() / 2));
+    boolean handsOver = m.draining && now < m.toldAt + rules.drainGrace() / 2;
+    return (!resting(m) || m.erring) && (listed(m) || handsOver);
   }
 
   private void send(Request r, Member m) {
@@ -714,6 +719,7 @@
     }
     m.strikes = (int) Math.max(0, m.strikes - (now - m.restAt) / FORGET);
     m.restAt = now;
+    m.erring = why.equals("errors");
     m.doubted = true;
     m.restUntil = now + (REST << Math.min(m.strikes++, REST_DOUBLINGS));
     out.log("server rests: " + why);
--- a/src/test/java/stoatrill/DecideTest.java
+++ b/src/test/java/stoatrill/DecideTest.java
@@ -361,6 +361,16 @@
     assertEquals(0, gateway.count("refuse"));
   }
 
+  @Test
+  void writesStillGoToAPrimaryThatRestsForItsErrors() {
+    for (int i = 0; i < 4 && !gateway.did("log server rests: errors"); i++) {
+      gateway.outcome(gateway.request(WRITE), 0, 1, Result.ERROR);
+    }
+    assertTrue(gateway.did("log server rests: errors"));
+    long id = gateway.request(WRITE);
+    assertTrue(gateway.did("send " + id + " to 1"));
+  }
+
   @Test
   void anOverdueReadsServerIsAskedAndABadReportMovesTheRead() {
     gateway = Recorder.start(Recorder.settings(Effect.UNSAFE, Scope.GROUP, Check.NONE, true, true, 2));
