Test reducer, discovery, HTTP and the whole program with one scenario language

Steps are send, expect, close and wait.

Found so: a request waiting for the budget of sockets lost its turn to one routed anew in the same event, since the pool was refilled only at the next tick; Reducer.broken now refills first (the scenario was seen failing).

--- a/src/main/java/stoatrill/config/Config.java
+++ b/src/main/java/stoatrill/config/Config.java
@@ -41,7 +41,8 @@
     }
   }
 
-  static Config parse(String text, Map<String, String> environment) throws ConfigException {
+  /** Reads the text of the file; what the environment says goes before it. */
+  public static Config parse(String text, Map<String, String> environment) throws ConfigException {
     try {
       JsonObject all = JsonParser.parseString(text).getAsJsonObject();
       Map<String, String> paths = new HashMap<>();
--- a/src/main/java/stoatrill/core/Reducer.java
+++ b/src/main/java/stoatrill/core/Reducer.java
@@ -163,6 +163,7 @@
     }
     Attempt a = c.attempt;
     pool.broken(now, c, full);
+    pool.refill(now); // the longest waiting first, before what the module sends next
     if (a != null) {
       // Before the last byte the server can't have begun; after it there is no telling.
       end(a, a.state == Attempt.State.OUT ? Result.RESET : Result.CONNECT_FAILED, null);
--- a/src/main/java/stoatrill/net/EventLoop.java
+++ b/src/main/java/stoatrill/net/EventLoop.java
@@ -132,13 +132,13 @@
     return selector;
   }
 
-  /** Where clients connect. */
-  public InetSocketAddress address() throws IOException {
+  private InetSocketAddress address() throws IOException {
     return (InetSocketAddress) listener.getLocalAddress();
   }
 
   /** Serves until {@link #stop} was called and all that was taken is answered. */
   public void run() throws IOException {
+    LOG.info("{} listens on {}", config.name(), address());
     while (!stopped) {
       long next = later.isEmpty() ? reducer.tick(now()) : 0;
       long wait = later.isEmpty() ? next - now() : 0;
--- /dev/null
+++ b/src/test/java/stoatrill/ServeScenarioTest.java
@@ -0,0 +1,415 @@
+package stoatrill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import stoatrill.scenario.Scenario;
+
+/**
+ * Starts the program and speaks to it over loopback. Actors: {@code r1}, {@code r2} and {@code p} are scripted
+ * servers, {@code list} is discovery, {@code router} the process, any other name a client's connection.
+ */
+class ServeScenarioTest implements Scenario.Stage {
+  private static final long PATIENCE_S = 20;
+  private static final String READ = "SELECT v FROM records WHERE k = 'a1' /* id=%s,c=archive,d=60000,cluster=0 */";
+  private static final String WRITE =
+      "INSERT INTO records (k, v) VALUES ('a1', '\\x01') RETURNING v /* id=%s,c=upload,d=60000,cluster=0 */";
+
+  @TempDir private Path folder;
+  private final List<Closeable> open = new ArrayList<>();
+  private final Map<String, BlockingQueue<String>> heard = new ConcurrentHashMap<>();
+  private final Map<String, Socket> current = new ConcurrentHashMap<>();
+  private final Map<String, Socket> clients = new HashMap<>();
+  private Process router;
+  private int port;
+
+  private void play(String steps) throws Exception {
+    String text = Scenario.config();
+    for (String server : List.of("r1", "r2", "p")) {
+      text = text.replaceFirst("127.0.0.1:9\", \"az\"",
+          "127.0.0.1:" + listen(s -> serve(server, s)) + "\", \"az\"");
+    }
+    text = text.replace("127.0.0.1:9", "127.0.0.1:" + listen(this::discover));
+    Path config = Files.writeString(folder.resolve("config.json"), text);
+    ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-ea", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "stoatrill.Main", "serve");
+    start.environment().keySet().removeIf(name -> name.startsWith("PROXY_"));
+    start.environment().put("PROXY_CONFIG", config.toString());
+    router = start.redirectErrorStream(true).start();
+    BufferedReader log = new BufferedReader(new InputStreamReader(router.getInputStream(), StandardCharsets.UTF_8));
+    String line = log.readLine();
+    assertTrue(line != null && line.contains("listens on"), line);
+    port = Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+    background(() -> {
+      String next;
+      while ((next = log.readLine()) != null) {
+        hear("router", next.contains("stopped") ? next.substring(next.indexOf("stopped")) : next);
+      }
+    });
+    Scenario.play(this, steps);
+  }
+
+  @AfterEach
+  void end() throws Exception {
+    for (Closeable c : open) {
+      c.close();
+    }
+    if (router != null) {
+      router.destroyForcibly().waitFor();
+    }
+  }
+
+  @Test
+  void readsGoToTheLocalReplicaAndWritesToThePrimaryAndValuesComeThrough() throws Exception {
+    play("""
+        c send startup
+        c expect ready
+        c send query ;
+        c expect empty
+        c send read 1
+        r1 expect read 1
+        r1 send row hello
+        c expect row hello
+        c send write 2
+        p expect write 2
+        p send row stored
+        c expect row stored
+        """);
+  }
+
+  @Test
+  void pipelinedRequestsAreAnsweredInTheirOrder() throws Exception {
+    play("""
+        c send startup
+        c expect ready
+        c send read+write 1
+        p expect write 1
+        p send row second
+        r1 expect read 1
+        r1 send row first
+        c expect row first
+        c expect row second
+        """);
+  }
+
+  @Test
+  void aReadGoesElsewhereAfterAnErrorAndAWriteDoesNot() throws Exception {
+    play("""
+        c send startup
+        c expect ready
+        c send read 1
+        r1 expect read 1
+        r1 send error XX000
+        r2 expect read 1
+        r2 send row x
+        c expect row x
+        c send write 2
+        p expect write 2
+        p send error XX000
+        c expect error 58000
+        """);
+  }
+
+  @Test
+  void aWriteCutOffByItsServerFailsAndIsNotSentAgain() throws Exception {
+    play("""
+        c send startup
+        c expect ready
+        c send write 1
+        p expect write 1
+        p close
+        c expect error 58000
+        c send write 2
+        p expect write 2
+        p send row y
+        c expect row y
+        """);
+  }
+
+  @Test
+  void badInputGetsItsSqlStateAndTheRouterGoesOn() throws Exception {
+    play("""
+        a send hex 0000000804d2162f
+        a expect byte N
+        a send startup
+        a expect ready
+        a send query DELETE FROM records
+        a expect error 0A000
+        a send query SELECT 1
+        a expect error 42601
+        a send query SELECT 1 /* id=1,c=nosuch,d=5,cluster=0 */
+        a expect error 22023
+        a send query SELECT 1 /* id=1,c=archive,d=x,cluster=0 */
+        a expect error 22023
+        a send query INSERT 1 /* id=1,c=archive,d=5,cluster=0 */
+        a expect error 22023
+        a send hex 50000000045300000004
+        a expect error 0A000
+        a send hex 51000fffff
+        a expect fatal 54000
+        a expect end
+        b send hex 0000000900020000ff
+        b expect fatal 0A000
+        b expect end
+        d send hex 00000002
+        d expect fatal 08P01
+        d expect end
+        e send hex 0000000900030000ff
+        e expect fatal 08P01
+        e expect end
+        c send startup
+        c expect ready
+        c send read 1
+        r1 expect read 1
+        r1 send row x
+        c expect row x
+        """);
+  }
+
+  @Test
+  void drainedServersGetNothingNew() throws Exception {
+    play("""
+        c send startup
+        c expect ready
+        list expect GET /v1/servers?from=5&hold_ms=20000
+        list send {"rev":6,"all":false,"targets":[{"uid":"r1","endpoint":"127.0.0.1:9","az":"north","pod_group":0,"state":"Terminating"}]}
+        list expect GET /v1/servers?from=6&hold_ms=20000
+        c send read 1
+        r2 expect read 1
+        r2 send row x
+        c expect row x
+        """);
+  }
+
+  @Test
+  void atSigtermWhatWasTakenIsAnsweredBeforeTheProcessEnds() throws Exception {
+    play("""
+        c send startup
+        c expect ready
+        idle send startup
+        idle expect ready
+        c send read 1
+        r1 expect read 1
+        router send TERM
+        idle expect end
+        r1 send row late
+        c expect row late
+        c expect end
+        c close
+        idle close
+        router expect stopped; invariants broken: {}
+        """);
+  }
+
+  @Test
+  void wrongUsageAndConfigurationEndWithOneLine() throws Exception {
+    assertEquals("stoatrill: PROXY_CONFIG is not set", lineOfFailure("serve"));
+    assertEquals("stoatrill: usage: java -jar stoatrill.jar serve|simhost", lineOfFailure("nosuch"));
+  }
+
+  private String lineOfFailure(String command) throws Exception {
+    ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-cp", System.getProperty("java.class.path"), "stoatrill.Main", command);
+    start.environment().remove("PROXY_CONFIG");
+    router = start.redirectErrorStream(true).start();
+    String said = new String(router.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    assertNotEquals(0, router.waitFor());
+    return said.strip();
+  }
+
+  // ---- The stage ----
+
+  @Override
+  public void send(String actor, String text) throws Exception {
+    String[] words = text.split(" ", 2);
+    if (actor.equals("router")) {
+      router.toHandle().destroy(); // SIGTERM; leaves its output open
+    } else if (actor.equals("list")) {
+      write(current.get(actor), ("HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text)
+          .getBytes(StandardCharsets.UTF_8));
+    } else if (List.of("r1", "r2", "p").contains(actor)) {
+      byte[] body = words[0].equals("row") ? row(words[1])
+          : message('E', ("SERROR\0C" + words[1] + "\0Mno\0\0").getBytes(StandardCharsets.UTF_8));
+      String role = "server_role\0" + (actor.equals("p") ? "writer" : "reader") + "\0";
+      write(current.get(actor), body, message('S', role.getBytes(StandardCharsets.UTF_8)), message('Z', "I".getBytes()));
+    } else {
+      Socket client = clients.get(actor);
+      if (client == null) {
+        client = new Socket(InetAddress.getLoopbackAddress(), port);
+        client.setSoTimeout((int) (PATIENCE_S * 1000));
+        open.add(client);
+        clients.put(actor, client);
+      }
+      switch (words[0]) {
+        case "startup" -> write(client, ByteBuffer.allocate(32).putInt(32).putInt(196608)
+            .put("user\0svc\0database\0main\0\0".getBytes(StandardCharsets.UTF_8)).array());
+        case "hex" -> write(client, java.util.HexFormat.of().parseHex(words[1]));
+        case "query" -> write(client, query(words[1]));
+        case "read" -> write(client, query(READ.formatted(words[1])));
+        case "write" -> write(client, query(WRITE.formatted(words[1])));
+        default -> write(client, query(READ.formatted(words[1])), query(WRITE.formatted(words[1])));
+      }
+    }
+  }
+
+  @Override
+  public void expect(String actor, String text) throws Exception {
+    Socket client = clients.get(actor);
+    if (client == null) {
+      String next = heard.computeIfAbsent(actor, a -> new LinkedBlockingQueue<>()).poll(PATIENCE_S, TimeUnit.SECONDS);
+      assertNotNull(next, "nothing came");
+      assertEquals(text, next);
+      return;
+    }
+    DataInputStream in = new DataInputStream(client.getInputStream());
+    if (text.equals("end")) {
+      assertEquals(-1, in.read());
+    } else if (text.startsWith("byte ")) {
+      assertEquals(text.charAt(5), in.read());
+    } else {
+      assertEquals(text, answer(in));
+    }
+  }
+
+  /** What one whole answer says, up to ReadyForQuery or a fatal error. */
+  private static String answer(DataInputStream in) throws IOException {
+    String said = "ready";
+    while (true) {
+      char type = (char) in.readByte();
+      String body = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.ISO_8859_1);
+      switch (type) {
+        case 'I' -> said = "empty";
+        case 'D' -> said = "row " + body.substring(6);
+        case 'E' -> said = (body.startsWith("SFATAL") ? "fatal " : "error ")
+            + body.substring(body.indexOf("\0C") + 2, body.indexOf("\0M"));
+        default -> { }
+      }
+      if (type == 'Z' || said.startsWith("fatal")) {
+        return said;
+      }
+    }
+  }
+
+  @Override
+  public void close(String actor) throws Exception {
+    Socket socket = clients.containsKey(actor) ? clients.remove(actor) : current.get(actor);
+    socket.close();
+  }
+
+  @Override
+  public void pass(long millis) {
+    throw new IllegalArgumentException("real time is waited for by what is expected, not by the clock");
+  }
+
+  // ---- Peers ----
+
+  private interface Work<T> {
+    void on(T what) throws Exception;
+  }
+
+  private interface Loop {
+    void run() throws Exception;
+  }
+
+  private int listen(Work<Socket> peer) throws IOException {
+    ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    open.add(listener);
+    background(() -> {
+      while (true) {
+        Socket socket = listener.accept();
+        open.add(socket);
+        background(() -> peer.on(socket));
+      }
+    });
+    return listener.getLocalPort();
+  }
+
+  private static void background(Loop loop) {
+    Thread thread = new Thread(() -> {
+      try {
+        loop.run();
+      } catch (Exception e) {
+        // the connection has ended, as it does at the end of every scenario
+      }
+    });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void hear(String actor, String what) {
+    heard.computeIfAbsent(actor, a -> new LinkedBlockingQueue<>()).add(what);
+  }
+
+  private void serve(String name, Socket socket) throws IOException {
+    DataInputStream in = new DataInputStream(socket.getInputStream());
+    in.readNBytes(in.readInt() - 4);
+    write(socket, message('R', new byte[4]), message('Z', "I".getBytes(StandardCharsets.UTF_8)));
+    while (in.readByte() == 'Q') {
+      String text = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.UTF_8);
+      current.put(name, socket);
+      String id = text.substring(text.indexOf("id=") + 3, text.indexOf(",c="));
+      hear(name, (text.startsWith("SELECT") ? "read " : "write ") + id);
+    }
+  }
+
+  private void discover(Socket socket) throws IOException {
+    BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+    String line;
+    while ((line = in.readLine()) != null) {
+      if (line.startsWith("GET")) {
+        current.put("list", socket);
+        hear("list", line.replace(" HTTP/1.1", ""));
+      }
+    }
+  }
+
+  private static byte[] query(String text) {
+    return message('Q', (text + "\0").getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static byte[] row(String value) {
+    byte[] text = value.getBytes(StandardCharsets.UTF_8);
+    byte[] data = ByteBuffer.allocate(6 + text.length).putShort((short) 1).putInt(text.length).put(text).array();
+    byte[] columns = ByteBuffer.allocate(22).putShort((short) 1).put("v\0".getBytes(StandardCharsets.UTF_8)).array();
+    byte[] tag = "SELECT 1\0".getBytes(StandardCharsets.UTF_8);
+    return ByteBuffer.allocate(columns.length + data.length + tag.length + 15).put(message('T', columns))
+        .put(message('D', data)).put(message('C', tag)).array();
+  }
+
+  private static byte[] message(char type, byte[] body) {
+    return ByteBuffer.allocate(5 + body.length).put((byte) type).putInt(4 + body.length).put(body).array();
+  }
+
+  private static void write(Socket socket, byte[]... parts) throws IOException {
+    ByteBuffer all = ByteBuffer.allocate(1 << 16);
+    for (byte[] part : parts) {
+      all.put(part);
+    }
+    socket.getOutputStream().write(all.array(), 0, all.position());
+  }
+}
--- /dev/null
+++ b/src/test/java/stoatrill/core/ReducerScenarioTest.java
@@ -0,0 +1,373 @@
+package stoatrill.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import stoatrill.Gateway.ListKind;
+import stoatrill.Gateway.Result;
+import stoatrill.Gateway.Role;
+import stoatrill.config.Config;
+import stoatrill.discovery.ServerList;
+import stoatrill.scenario.Scenario;
+
+/**
+ * The reducer with fake time. A client sends {@code CLASS NAME WAIT}; a server sends {@code up},
+ * {@code taken} (the last byte is written) and outcomes, and expects what is asked of its connections.
+ */
+class ReducerScenarioTest implements Scenario.Stage, Effects {
+  private static final long MS = 1_000_000L;
+  private static final long START = 1_700_000_000_000L * MS;
+  private final Map<String, ArrayDeque<String>> seen = new HashMap<>();
+  private final Map<Integer, String> byPort = new HashMap<>();
+  private final Map<Long, String> serverOf = new HashMap<>();
+  private final Map<String, Long> connectionOf = new HashMap<>();
+  private final Map<Long, String> names = new HashMap<>();
+  private long now = START;
+  private long slots;
+  private Reducer reducer;
+
+  private void play(String steps) throws Exception {
+    play(40, steps);
+  }
+
+  private void play(int connections, String steps) throws Exception {
+    int port = 1;
+    String text = Scenario.config();
+    while (text.contains("127.0.0.1:9\", \"az\"")) {
+      byPort.put(port, List.of("", "r1", "r2", "p").get(port));
+      text = text.replaceFirst("127.0.0.1:9\", \"az\"", "127.0.0.1:" + port++ + "\", \"az\"");
+    }
+    Config config = Config.parse(text, Map.of());
+    reducer = new Reducer(this, new Clocks(START, START), new Deadlines(), new Reducer.Setup(config.settings(),
+        config.zones(), config.models(), config.connectTimeout(), config.connIdle(), config.mostHeld(),
+        connections, config.seed()));
+    reducer.members(now, ListKind.CACHED, ServerList.parse(config.known()).entries());
+    Scenario.play(this, steps);
+  }
+
+  @AfterEach
+  void nothingBroken() {
+    assertEquals(Map.of(), reducer.brokenInvariants());
+  }
+
+  @Test
+  void aReadIsServedByTheLocalReplicaAndItsConnectionUsedAgain() throws Exception {
+    play("""
+        c send archive a 500
+        r1 expect open
+        r1 send up
+        r1 expect query a 500
+        r1 send taken
+        wait 20
+        r1 send ok
+        c expect a served
+        c send archive b 500
+        r1 expect query b 500
+        r1 expect nothing
+        """);
+  }
+
+  @Test
+  void aSecondRequestAtOnceGetsAConnectionOfItsOwn() throws Exception {
+    play("""
+        c send archive a 500
+        c send archive b 500
+        r1 expect open
+        r1 expect open
+        """);
+  }
+
+  @Test
+  void theWaitPassedOnIsWhatIsLeftWhenTheConnectionIsUp() throws Exception {
+    play("""
+        c send upload u 1000
+        p expect open
+        wait 100
+        p send up
+        p expect query u 900
+        """);
+  }
+
+  @Test
+  void anUploadThatNeverLeftGoesAgain() throws Exception {
+    play("""
+        c send upload u 1000
+        p expect open
+        p send up
+        p expect query u 1000
+        p close
+        p expect open
+        p send up
+        p expect query u 1000
+        """);
+  }
+
+  @Test
+  void anUploadThatMayHaveRunFailsAndNeverGoesAgain() throws Exception {
+    play("""
+        c send upload u 1000
+        p expect open
+        p send up
+        p expect query u 1000
+        p send taken
+        p close
+        c expect u failed
+        p expect nothing
+        """);
+  }
+
+  @Test
+  void anUploadTurnedAwayAsAMissGoesAgain() throws Exception {
+    play("""
+        c send upload u 1000
+        p expect open
+        p send up
+        p expect query u 1000
+        p send taken
+        p send miss
+        wait 60
+        c expect nothing
+        """);
+  }
+
+  @Test
+  void aReadLostWithItsConnectionIsTriedElsewhere() throws Exception {
+    play("""
+        c send archive a 500
+        r1 expect open
+        r1 send up
+        r1 expect query a 500
+        r1 send taken
+        r1 close
+        r2 expect open
+        r2 send up
+        r2 expect query a 500
+        r2 send ok
+        c expect a served
+        c expect nothing
+        """);
+  }
+
+  @Test
+  void aServerThatNeverComesUpIsGivenUpAtTheConnectTimeOut() throws Exception {
+    play("""
+        c send archive a 500
+        r1 expect open
+        wait 251
+        r1 expect close
+        r2 expect open
+        """);
+  }
+
+  @Test
+  void aRequestNobodyAnswersIsRefusedBeforeItsDeadlineAndItsAttemptAbandoned() throws Exception {
+    play("""
+        c send archive a 100
+        r1 expect open
+        r1 send up
+        r1 expect query a 100
+        r1 send taken
+        wait 101
+        c expect a refused
+        r1 expect close
+        c expect nothing
+        """);
+  }
+
+  @Test
+  void whenTheClientLeavesItsAttemptIsAbandonedAndNothingAnswered() throws Exception {
+    play("""
+        c send archive a 500
+        r1 expect open
+        r1 send up
+        r1 expect query a 500
+        c close
+        r1 expect close
+        c expect nothing
+        """);
+  }
+
+  @Test
+  void aConnectionAtRestIsClosedBeforeTheServerMay() throws Exception {
+    play("""
+        c send archive a 500
+        r1 expect open
+        r1 send up
+        r1 expect query a 500
+        r1 send ok
+        wait 20000
+        r1 expect nothing
+        wait 1500
+        r1 expect close
+        """);
+  }
+
+  @Test
+  void aBoundedReadIsNotWrittenOnceWhatIsKnownOfItsServerIsTooOld() throws Exception {
+    play("""
+        c send archive a 900
+        r1 expect open
+        r1 send up
+        r1 expect query a 900
+        r1 send ok
+        wait 200
+        c send archive b 900
+        r1 expect query b 900
+        c send recent f 600
+        r1 expect open
+        wait 120
+        r1 send up
+        r1 expect nothing
+        """);
+  }
+
+  @Test
+  void anIdleConnectionElsewhereMakesRoomForANewOne() throws Exception {
+    play(1, """
+        c send archive a 500
+        r1 expect open
+        r1 send up
+        r1 expect query a 500
+        r1 send ok
+        c expect a served
+        c send upload u 1000
+        r1 expect close
+        p expect open
+        """);
+  }
+
+  @Test
+  void aWaitingRequestGetsTheRoomThatAnEndedConnectionLeaves() throws Exception {
+    play(1, """
+        c send archive a 500
+        r1 expect open
+        r1 send up
+        r1 expect query a 500
+        c send upload u 1000
+        p expect nothing
+        r1 close
+        p expect open
+        """);
+  }
+
+  @Test
+  void whatIsNoRequestIsSaidAtOnce() throws Exception {
+    play("""
+        c send nosuch a 500
+        c expect a invalid
+        c send upload/select b 500
+        c expect b invalid
+        r1 expect nothing
+        """);
+  }
+
+  @Test
+  void tooManyHeldAreRefused() throws Exception {
+    StringBuilder steps = new StringBuilder();
+    for (int i = 0; i < 5; i++) {
+      steps.append("c send upload u").append(i).append(" 1000\n");
+    }
+    play(steps + "c send archive a 500\nc expect a refused\n");
+  }
+
+  // ---- The stage ----
+
+  @Override
+  public void send(String actor, String text) {
+    String[] words = text.split(" ");
+    if (actor.equals("c")) {
+      boolean writes = words[0].equals("upload");
+      String kind = words[0].split("/")[0];
+      names.put(slots, words[1]);
+      reducer.request(now, 1, slots++, new ClientRequest(kind, "k", 0, Long.parseLong(words[2]), 0, false, writes,
+          wait -> (words[1] + " " + wait).getBytes(StandardCharsets.UTF_8)));
+      return;
+    }
+    long connection = connectionOf.get(actor);
+    Role role = actor.equals("p") ? Role.PRIMARY : Role.REPLICA;
+    switch (words[0]) {
+      case "up" -> reducer.connected(now, connection);
+      case "taken" -> reducer.written(connection);
+      default -> reducer.answered(now, connection, new ServerAnswer(
+          Result.valueOf(words[0].toUpperCase(java.util.Locale.ROOT)), role, now / MS, null, new byte[1]), true);
+    }
+  }
+
+  @Override
+  public void expect(String actor, String text) {
+    ArrayDeque<String> of = seen.getOrDefault(actor, new ArrayDeque<>());
+    assertEquals(text, of.isEmpty() ? "nothing" : of.poll());
+  }
+
+  @Override
+  public void close(String actor) {
+    if (actor.equals("c")) {
+      reducer.clientGone(now, 1);
+    } else {
+      reducer.broken(now, connectionOf.get(actor), false);
+    }
+  }
+
+  @Override
+  public void pass(long millis) {
+    for (long end = now + millis * MS; now < end; now += MS) {
+      reducer.tick(now);
+    }
+    reducer.tick(now);
+  }
+
+  private void saw(String actor, String what) {
+    seen.computeIfAbsent(actor, a -> new ArrayDeque<>()).add(what);
+  }
+
+  @Override
+  public void open(long connection, InetSocketAddress endpoint) {
+    String server = byPort.get(endpoint.getPort());
+    serverOf.put(connection, server);
+    connectionOf.put(server, connection);
+    saw(server, "open");
+  }
+
+  @Override
+  public void query(long connection, Statement statement, long waitMillis) {
+    connectionOf.put(serverOf.get(connection), connection);
+    saw(serverOf.get(connection), "query " + new String(statement.withWait(waitMillis), StandardCharsets.UTF_8));
+  }
+
+  @Override
+  public void probe(long connection) {
+    saw(serverOf.get(connection), "probe");
+  }
+
+  @Override
+  public void close(long connection) {
+    saw(serverOf.get(connection), "close");
+  }
+
+  @Override
+  public void answer(long client, long slot, Answer answer) {
+    assertTrue(names.containsKey(slot));
+    saw("c", names.get(slot) + " " + answer.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT));
+  }
+
+  @Override
+  public void watch(boolean on) {
+    saw("list", "watch " + on);
+  }
+
+  @Override
+  public void fetch() {
+    saw("list", "fetch");
+  }
+
+  @Override
+  public void log(String line) {}
+}
