Give reads more patience at replicas while all is slow but nothing waits

The module now learns what a class takes at servers whose reports show none waiting, and gives a read 1.4 times that at a replica.

--- a/src/main/java/stoatrill/Decide.java
+++ b/src/main/java/stoatrill/Decide.java
@@ -28,6 +28,8 @@
   private static final double WORST = 8; // times the usual: more says nothing more about a server
   private static final double BUSY = 0.5; // of the aim: a server expected to take longer is busy for a read
   private static final double LEAST_PATIENCE = 0.2, MOST_PATIENCE = 1.0; // of the aim, by worth
+  /** So many times what a class takes where nothing waits is no queue yet, within this part of the aim. */
+  private static final double UNHURRIED = 1.4, UNHURRIED_MOST = 0.7;
   /** Overdue: so many times the usual time (one in ten by chance), but within a part of the aim. */
   private static final double OVERDUE = 2, OVERDUE_MOST = 0.6, MISSED = 4;
   /** What a report shows waiting is a hint that fades; without the number in work, so many are at work. */
@@ -69,6 +71,8 @@
   private final double mostWorth;
   /** By class, the usual time to an answer, and when it was last smoothed. */
   private final double[] usual;
+  /** By class, the smoothed time to an answer from servers whose reports show none waiting; 0: none yet. */
+  private final double[] unhurried;
   private final long[] usualAt;
   private double[] unanswered = {0}; // by zone, the share of attempts
   private final SplittableRandom random;
@@ -151,6 +155,7 @@
     this.mostWorth = Arrays.stream(classes).mapToDouble(RequestClass::worth).max().orElse(1);
     this.usual = Arrays.stream(classes).mapToDouble(c -> c.aim() * UNKNOWN_LATENCY).toArray();
     this.usualAt = new long[classes.length];
+    this.unhurried = new double[classes.length];
   }
 
   // ---- Requests in ----
@@ -204,7 +209,7 @@
     Member to = target(r);
     if (to == null || asksFirst(r, to)) {
       hold(r);
-    } else if (r.firstMaybe == NONE && expected(to, r) > patience(r)) {
+    } else if (r.firstMaybe == NONE && expected(to, r) > patience(to, r)) {
       giveUp(r);
     } else {
       send(r, to);
@@ -256,7 +261,8 @@
    * worth waiting for, or it refused as full. Guards against a refusal while another server has room.
    */
   private boolean busy(Member m, Request r) {
-    return expected(m, r) > Math.min(BUSY * r.kind.aim(), patience(r)) || m.fullUntil > now;
+    double mark = Math.min(Math.max(BUSY * r.kind.aim(), unhurried(m, r)), patience(m, r));
+    return expected(m, r) > mark || m.fullUntil > now;
   }
 
   /**
@@ -370,12 +376,21 @@
    * How long a request may be expected to take and still be taken on: the less worth, on time and late, the
    * shorter. One held past its aim goes by its late worth. Harm: it may take the place of one still in time.
    */
-  private double patience(Request r) {
-    double most = r.kind.aim() * (LEAST_PATIENCE + (MOST_PATIENCE - LEAST_PATIENCE) * r.worth / mostWorth);
+  private double patience(Member m, Request r) {
+    double share = LEAST_PATIENCE + (MOST_PATIENCE - LEAST_PATIENCE) * r.worth / mostWorth;
+    double most = Math.max(r.kind.aim() * share, unhurried(m, r));
     long waited = now - r.arrived;
     return waited < most / 2 ? most - waited : r.kind.lateWorth() * (r.deadline - now);
   }
 
+  /**
+   * How long a class may take before that means a queue. Guards against refusing nearly all while every server
+   * is slow but none has a queue. A primary is spared: its writes would wait. Harm: more comes late then.
+   */
+  private double unhurried(Member m, Request r) {
+    return m == r.group.primary ? 0 : Math.min(UNHURRIED * unhurried[r.kindAt], UNHURRIED_MOST * r.kind.aim());
+  }
+
   /**
    * What a request sent now should take: the class's usual time by what is known of the server, stretched if
    * more is in flight than usual. A few in flight crowd no server. Guards against a replica that is used so
@@ -657,6 +672,10 @@
         answered(m);
         if (r != null) {
           sample(m, r, took);
+          if (showsWaiting && m.crowd == 0) {
+            double before = unhurried[r.kindAt] == 0 ? took : unhurried[r.kindAt];
+            unhurried[r.kindAt] = before + weight(usualAt[r.kindAt], USUAL_OVER) * (took - before);
+          }
           usual[r.kindAt] = usual(r) + weight(usualAt[r.kindAt], USUAL_OVER) * (took - usual(r));
           usualAt[r.kindAt] = now;
         }
--- a/src/test/java/stoatrill/DecideTest.java
+++ b/src/test/java/stoatrill/DecideTest.java
@@ -361,6 +361,19 @@
     assertEquals(0, gateway.count("refuse"));
   }
 
+  @Test
+  void readsAreTakenOnWhereAllIsSlowButNothingWaits() {
+    gateway.report(2, 0, 1);
+    for (int i = 0; i < 80; i++) {
+      long id = gateway.request(ANY);
+      gateway.now += 200 * MS; // half of the aim: beyond the patience of a read of little worth
+      long server = gateway.last();
+      gateway.module.outcome(gateway.now, id, 0, server, Result.OK, 200 * MS, true, gateway.now,
+          server == 1 ? Role.PRIMARY : Role.REPLICA, null);
+    }
+    assertEquals(0, gateway.count("refuse"));
+  }
+
   @Test
   void writesStillGoToAPrimaryThatRestsForItsErrors() {
     for (int i = 0; i < 4 && !gateway.did("log server rests: errors"); i++) {
