Fold writing to a link into one place and the scenarios' common openings

Link.write now does what client, server and discovery links each did: write, note that all is out, and end a broken link later.

--- a/src/main/java/stoatrill/Decide.java
+++ b/src/main/java/stoatrill/Decide.java
@@ -384,11 +384,12 @@
   }
 
   /**
-   * How long a class may take before that means a queue. Guards against refusing nearly all while every server
-   * is slow but none has a queue. A primary is spared: its writes would wait. Harm: more comes late then.
+   * How long a class may take before that means a queue. Guards against refusing nearly all while every
+   * server is slow but none has a queue. A primary is spared: its writes would wait. Harm: more comes late.
    */
   private double unhurried(Member m, Request r) {
-    return m == r.group.primary ? 0 : Math.min(UNHURRIED * unhurried[r.kindAt], UNHURRIED_MOST * r.kind.aim());
+    double most = UNHURRIED_MOST * r.kind.aim();
+    return m == r.group.primary ? 0 : Math.min(UNHURRIED * unhurried[r.kindAt], most);
   }
 
   /**
--- a/src/main/java/stoatrill/core/Reducer.java
+++ b/src/main/java/stoatrill/core/Reducer.java
@@ -78,7 +78,8 @@
     }
     if (asked.writes() != (kind.need() == Need.WRITE)) {
       // Guards uploads: a statement that writes must not go out under a class that may be repeated.
-      effects.answer(client, slot, new Answer.Invalid("class \"" + kind.name() + "\" is not for this statement"));
+      effects.answer(client, slot,
+          new Answer.Invalid("class \"" + kind.name() + "\" is not for this statement"));
       return;
     }
     if (unanswered >= setup.mostHeld()) {
--- a/src/main/java/stoatrill/discovery/DiscoveryClient.java
+++ b/src/main/java/stoatrill/discovery/DiscoveryClient.java
@@ -96,7 +96,8 @@
 
   private void send() {
     String query = call == Call.WATCH ? "?from=" + version + "&hold_ms=" + HOLD_MILLIS : "";
-    peer.send(("GET /v1/servers" + query + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: application/json\r\n\r\n")
+    peer.send(("GET /v1/servers" + query + " HTTP/1.1\r\nHost: " + host
+        + "\r\nAccept: application/json\r\n\r\n")
         .getBytes(StandardCharsets.US_ASCII));
   }
 
--- a/src/main/java/stoatrill/http/ResponseParser.java
+++ b/src/main/java/stoatrill/http/ResponseParser.java
@@ -122,7 +122,8 @@
     switch (text.substring(0, colon).toLowerCase(Locale.ROOT)) {
       case "content-length" -> left = number(value, 10);
       case "transfer-encoding" -> chunked = value.toLowerCase(Locale.ROOT).endsWith("chunked");
-      case "connection" -> keep = keep ? !value.equalsIgnoreCase("close") : value.equalsIgnoreCase("keep-alive");
+      case "connection" ->
+          keep = keep ? !value.equalsIgnoreCase("close") : value.equalsIgnoreCase("keep-alive");
       default -> { }
     }
   }
--- a/src/main/java/stoatrill/net/EventLoop.java
+++ b/src/main/java/stoatrill/net/EventLoop.java
@@ -132,6 +132,11 @@
     return selector;
   }
 
+  /** Runs something once the event or effect at hand has returned. */
+  void later(Runnable what) {
+    later.add(what);
+  }
+
   private InetSocketAddress address() throws IOException {
     return (InetSocketAddress) listener.getLocalAddress();
   }
@@ -293,20 +298,6 @@
       interest(SelectionKey.OP_READ, half || closing || (!protocol.congested() && queued() < MOST_QUEUED));
     }
 
-    @Override
-    public void write(byte[] bytes) {
-      if (!open()) {
-        return;
-      }
-      try {
-        if (put(bytes)) {
-          flushed();
-        }
-      } catch (IOException e) {
-        later.add(this::fail);
-      }
-    }
-
     @Override
     void flushed() {
       pace();
@@ -393,22 +384,12 @@
 
     @Override
     void connected() {
-      say(protocol.greeting());
+      write(protocol.greeting());
     }
 
     void ask(byte[] query) {
       asked = true;
-      say(query);
-    }
-
-    private void say(byte[] bytes) {
-      try {
-        if (put(bytes)) {
-          flushed();
-        }
-      } catch (IOException e) {
-        later.add(this::fail);
-      }
+      write(query);
     }
 
     @Override
@@ -546,13 +527,8 @@
   @Override
   public void send(byte[] request) {
     DiscoveryLink link = discoveryLink;
-    if (link == null) {
-      return;
-    }
-    try {
-      link.put(request);
-    } catch (IOException e) {
-      later.add(link::fail);
+    if (link != null) {
+      link.write(request);
     }
   }
 
--- a/src/main/java/stoatrill/net/Link.java
+++ b/src/main/java/stoatrill/net/Link.java
@@ -9,6 +9,7 @@
 
 /** One non-blocking connection with what is still to be written to it. */
 abstract class Link {
+  private final EventLoop loop;
   private final SocketChannel channel;
   private final SelectionKey key;
   private final ArrayDeque<ByteBuffer> outbound = new ArrayDeque<>();
@@ -16,6 +17,7 @@
   private boolean open = true;
 
   Link(EventLoop loop, SocketChannel channel, int interest) throws IOException {
+    this.loop = loop;
     this.channel = channel;
     channel.configureBlocking(false);
     channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
@@ -28,7 +30,7 @@
   /** The connection is up. */
   void connected() {}
 
-  /** Everything handed to {@link #put} is out. */
+  /** Everything handed to {@link #write} is out. */
   void flushed() {}
 
   /** The other side has ended or broken the connection; it is closed already. */
@@ -46,11 +48,20 @@
     return channel;
   }
 
-  /** Writes what the socket takes and keeps the rest; returns whether all is out. */
-  boolean put(byte[] bytes) throws IOException {
+  /** Writes what the socket takes and keeps the rest; {@link #flushed} follows once all is out. */
+  public void write(byte[] bytes) {
+    if (!open) {
+      return;
+    }
     outbound.add(ByteBuffer.wrap(bytes));
     queued += bytes.length;
-    return flush();
+    try {
+      if (flush()) {
+        flushed();
+      }
+    } catch (IOException e) {
+      loop.later(this::fail); // not from within whoever writes
+    }
   }
 
   private boolean flush() throws IOException {
--- a/src/test/java/stoatrill/ServeScenarioTest.java
+++ b/src/test/java/stoatrill/ServeScenarioTest.java
@@ -36,6 +36,7 @@
  */
 class ServeScenarioTest implements Scenario.Stage {
   private static final long PATIENCE_S = 20;
+  private static final String CONNECTED = "c send startup\nc expect ready\n";
   private static final String READ = "SELECT v FROM records WHERE k = 'a1' /* id=%s,c=archive,d=60000,cluster=0 */";
   private static final String WRITE =
       "INSERT INTO records (k, v) VALUES ('a1', '\\x01') RETURNING v /* id=%s,c=upload,d=60000,cluster=0 */";
@@ -86,9 +87,7 @@
 
   @Test
   void readsGoToTheLocalReplicaAndWritesToThePrimaryAndValuesComeThrough() throws Exception {
-    play("""
-        c send startup
-        c expect ready
+    play(CONNECTED + """
         c send query ;
         c expect empty
         c send read 1
@@ -104,9 +103,7 @@
 
   @Test
   void pipelinedRequestsAreAnsweredInTheirOrder() throws Exception {
-    play("""
-        c send startup
-        c expect ready
+    play(CONNECTED + """
         c send read+write 1
         p expect write 1
         p send row second
@@ -119,9 +116,7 @@
 
   @Test
   void aReadGoesElsewhereAfterAnErrorAndAWriteDoesNot() throws Exception {
-    play("""
-        c send startup
-        c expect ready
+    play(CONNECTED + """
         c send read 1
         r1 expect read 1
         r1 send error XX000
@@ -137,9 +132,7 @@
 
   @Test
   void aWriteCutOffByItsServerFailsAndIsNotSentAgain() throws Exception {
-    play("""
-        c send startup
-        c expect ready
+    play(CONNECTED + """
         c send write 1
         p expect write 1
         p close
@@ -193,9 +186,7 @@
 
   @Test
   void drainedServersGetNothingNew() throws Exception {
-    play("""
-        c send startup
-        c expect ready
+    play(CONNECTED + """
         list expect GET /v1/servers?from=5&hold_ms=20000
         list send {"rev":6,"all":false,"targets":[{"uid":"r1","endpoint":"127.0.0.1:9","az":"north","pod_group":0,"state":"Terminating"}]}
         list expect GET /v1/servers?from=6&hold_ms=20000
@@ -208,9 +199,7 @@
 
   @Test
   void atSigtermWhatWasTakenIsAnsweredBeforeTheProcessEnds() throws Exception {
-    play("""
-        c send startup
-        c expect ready
+    play(CONNECTED + """
         idle send startup
         idle expect ready
         c send read 1
--- a/src/test/java/stoatrill/core/ReducerScenarioTest.java
+++ b/src/test/java/stoatrill/core/ReducerScenarioTest.java
@@ -25,6 +25,18 @@
 class ReducerScenarioTest implements Scenario.Stage, Effects {
   private static final long MS = 1_000_000L;
   private static final long START = 1_700_000_000_000L * MS;
+  private static final String READ_AT_R1 = """
+      c send archive a 500
+      r1 expect open
+      r1 send up
+      r1 expect query a 500
+      """;
+  private static final String UPLOAD_AT_P = """
+      c send upload u 1000
+      p expect open
+      p send up
+      p expect query u 1000
+      """;
   private final Map<String, ArrayDeque<String>> seen = new HashMap<>();
   private final Map<Integer, String> byPort = new HashMap<>();
   private final Map<Long, String> serverOf = new HashMap<>();
@@ -60,11 +72,7 @@
 
   @Test
   void aReadIsServedByTheLocalReplicaAndItsConnectionUsedAgain() throws Exception {
-    play("""
-        c send archive a 500
-        r1 expect open
-        r1 send up
-        r1 expect query a 500
+    play(READ_AT_R1 + """
         r1 send taken
         wait 20
         r1 send ok
@@ -98,11 +106,7 @@
 
   @Test
   void anUploadThatNeverLeftGoesAgain() throws Exception {
-    play("""
-        c send upload u 1000
-        p expect open
-        p send up
-        p expect query u 1000
+    play(UPLOAD_AT_P + """
         p close
         p expect open
         p send up
@@ -112,11 +116,7 @@
 
   @Test
   void anUploadThatMayHaveRunFailsAndNeverGoesAgain() throws Exception {
-    play("""
-        c send upload u 1000
-        p expect open
-        p send up
-        p expect query u 1000
+    play(UPLOAD_AT_P + """
         p send taken
         p close
         c expect u failed
@@ -126,11 +126,7 @@
 
   @Test
   void anUploadTurnedAwayAsAMissGoesAgain() throws Exception {
-    play("""
-        c send upload u 1000
-        p expect open
-        p send up
-        p expect query u 1000
+    play(UPLOAD_AT_P + """
         p send taken
         p send miss
         wait 60
@@ -140,11 +136,7 @@
 
   @Test
   void aReadLostWithItsConnectionIsTriedElsewhere() throws Exception {
-    play("""
-        c send archive a 500
-        r1 expect open
-        r1 send up
-        r1 expect query a 500
+    play(READ_AT_R1 + """
         r1 send taken
         r1 close
         r2 expect open
@@ -184,11 +176,7 @@
 
   @Test
   void whenTheClientLeavesItsAttemptIsAbandonedAndNothingAnswered() throws Exception {
-    play("""
-        c send archive a 500
-        r1 expect open
-        r1 send up
-        r1 expect query a 500
+    play(READ_AT_R1 + """
         c close
         r1 expect close
         c expect nothing
@@ -197,11 +185,7 @@
 
   @Test
   void aConnectionAtRestIsClosedBeforeTheServerMay() throws Exception {
-    play("""
-        c send archive a 500
-        r1 expect open
-        r1 send up
-        r1 expect query a 500
+    play(READ_AT_R1 + """
         r1 send ok
         wait 20000
         r1 expect nothing
@@ -231,11 +215,7 @@
 
   @Test
   void anIdleConnectionElsewhereMakesRoomForANewOne() throws Exception {
-    play(1, """
-        c send archive a 500
-        r1 expect open
-        r1 send up
-        r1 expect query a 500
+    play(1, READ_AT_R1 + """
         r1 send ok
         c expect a served
         c send upload u 1000
@@ -246,11 +226,7 @@
 
   @Test
   void aWaitingRequestGetsTheRoomThatAnEndedConnectionLeaves() throws Exception {
-    play(1, """
-        c send archive a 500
-        r1 expect open
-        r1 send up
-        r1 expect query a 500
+    play(1, READ_AT_R1 + """
         c send upload u 1000
         p expect nothing
         r1 close
--- a/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
+++ b/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
@@ -15,6 +15,12 @@
 /** Discovery's client with fake time: {@code module} follows, {@code list} is the service at the other end. */
 class DiscoveryScenarioTest implements Scenario.Stage, DiscoveryClient.Peer {
   private static final long MS = 1_000_000L;
+  private static final String WATCHING = """
+      module send follow
+      list expect open
+      list send up
+      list expect GET /v1/servers?from=4&hold_ms=20000
+      """;
   private final ArrayDeque<String> seen = new ArrayDeque<>();
   private final Deadlines deadlines = new Deadlines();
   private DiscoveryClient client;
@@ -27,11 +33,7 @@
 
   @Test
   void aWatchIsRenewedBeforeItsNewsIsPassedOn() throws Exception {
-    play(4, """
-        module send follow
-        list expect open
-        list send up
-        list expect GET /v1/servers?from=4&hold_ms=20000
+    play(4, WATCHING + """
         list send 200 {"rev":5,"all":false,"targets":[]}
         list expect GET /v1/servers?from=5&hold_ms=20000
         list expect DELTA 0
@@ -53,11 +55,7 @@
 
   @Test
   void aFailedCallIsToldOnceAndNotRepeatedUnasked() throws Exception {
-    play(4, """
-        module send follow
-        list expect open
-        list send up
-        list expect GET /v1/servers?from=4&hold_ms=20000
+    play(4, WATCHING + """
         list send 503 busy
         list expect close
         list expect FAILED 0
@@ -72,11 +70,7 @@
 
   @Test
   void aListThatCantBeReadIsAFailedCall() throws Exception {
-    play(4, """
-        module send follow
-        list expect open
-        list send up
-        list expect GET /v1/servers?from=4&hold_ms=20000
+    play(4, WATCHING + """
         list send 200 {"rev":5,"targets":[{"uid":"s","endpoint":"a.name:1","state":"Ready"}]}
         list expect close
         list expect FAILED 0
@@ -85,11 +79,7 @@
 
   @Test
   void aSilentServiceIsGivenUpOnceTheWaitIsLongOver() throws Exception {
-    play(4, """
-        module send follow
-        list expect open
-        list send up
-        list expect GET /v1/servers?from=4&hold_ms=20000
+    play(4, WATCHING + """
         wait 22000
         list expect nothing
         wait 600
@@ -100,11 +90,7 @@
 
   @Test
   void aConnectionClosedAtRestIsNoFailure() throws Exception {
-    play(4, """
-        module send follow
-        list expect open
-        list send up
-        list expect GET /v1/servers?from=4&hold_ms=20000
+    play(4, WATCHING + """
         list send 200 {"rev":5,"all":false,"targets":[]}
         list expect GET /v1/servers?from=5&hold_ms=20000
         list expect DELTA 0
