--- a/src/main/java/stoatrill/Gateway.java
+++ b/src/main/java/stoatrill/Gateway.java
@@ -189,7 +189,7 @@
   record Limits(boolean cancel, boolean probes, boolean peers, boolean secondCopies, boolean comeBack,
       int attempts, long longestComeBack) {}
 
-  /** The figures of the rules; see {@code docs/design.md}. */
+  /** The figures of the rules that hold where a gateway runs. */
   record Rules(long answerSlack, long askWithin, long drainGrace, double coldFrom, long warmAfter,
       double tipMultiple, long tipAfter, boolean removalBinds) {}
 
--- a/src/main/java/stoatrill/core/Reducer.java
+++ b/src/main/java/stoatrill/core/Reducer.java
@@ -40,7 +40,7 @@
   private final ServerPool pool;
   private final Decide module;
   private final Map<String, RequestClass> classes = new HashMap<>();
-  private final Map<String, Integer> classPlaces = new HashMap<>();
+  private final Map<String, Integer> classPlaces = new HashMap<>(); // as the module counts them
   private final Map<Long, Request> requests = new HashMap<>();
   private final Map<Long, Map<Long, Request>> open = new HashMap<>();
   private final Map<String, ServerPool.Server> byUid = new HashMap<>();
--- a/src/main/java/stoatrill/core/ServerPool.java
+++ b/src/main/java/stoatrill/core/ServerPool.java
@@ -74,10 +74,6 @@
     return connections.get(id);
   }
 
-  int size() {
-    return connections.size();
-  }
-
   /** Finds a connection for the attempt: a warm one, or one opened for it. */
   void take(long now, Attempt attempt) {
     Server server = attempt.server;
--- a/src/test/java/stoatrill/EmbeddingExampleTest.java
+++ b/src/test/java/stoatrill/EmbeddingExampleTest.java
@@ -8,7 +8,7 @@
 import java.util.PriorityQueue;
 import org.junit.jupiter.api.Test;
 
-/** The example of the README: a small gateway of one's own that drives the module. */
+/** An example: a small gateway of one's own that drives the module. */
 class EmbeddingExampleTest {
 
   /** Owns the clock and the timers, and "sends" to servers that answer 20 ms later. */
