Take one statement a query, so that no second one goes out under a read's class

A query of two statements was passed on whole; under a class that may be repeated its second part could have written twice. Seen with a scenario first (the router took it); PgStatement now says 42601.

--- a/src/main/java/stoatrill/pg/PgStatement.java
+++ b/src/main/java/stoatrill/pg/PgStatement.java
@@ -37,6 +37,10 @@
     if (open < 0 || close < open || !text.substring(close + 2).isBlank()) {
       throw new PgException("42601", "the statement does not end with its comment of id, c and d");
     }
+    if (several(text.substring(0, open))) {
+      // Guards uploads: a second statement could write under a class whose requests may be repeated.
+      throw new PgException("42601", "only one statement is taken at a time");
+    }
     String id = null;
     String kind = null;
     long wait = -1;
@@ -77,6 +81,18 @@
         new PgStatement(statement, waitFrom, waitTo));
   }
 
+  /** Whether anything follows a semicolon that is not part of a literal. */
+  private static boolean several(String text) {
+    boolean quoted = false;
+    for (int i = 0; i < text.length(); i++) {
+      quoted ^= text.charAt(i) == '\'';
+      if (text.charAt(i) == ';' && !quoted) {
+        return !text.substring(i + 1).isBlank();
+      }
+    }
+    return false;
+  }
+
   private static boolean startsWith(String text, String verb) {
     int at = 0;
     while (at < text.length() && Character.isWhitespace(text.charAt(at))) {
--- a/src/test/java/stoatrill/ServeScenarioTest.java
+++ b/src/test/java/stoatrill/ServeScenarioTest.java
@@ -161,6 +161,8 @@
         a expect error 22023
         a send query INSERT 1 /* id=1,c=archive,d=5,cluster=0 */
         a expect error 22023
+        a send query SELECT 1; DELETE FROM records /* id=1,c=archive,d=5,cluster=0 */
+        a expect error 42601
         a send hex 50000000045300000004
         a expect error 0A000
         a send hex 51000fffff
