Read servers' answers by a strict grammar, and take SIGHUP as a new configuration

At fault: PgServer.message() took any message in any order and never looked at the lengths inside a row; EventLoop.query() and ServerPool.rest() wrote to a connection without looking for bytes that had come behind the last answer, which were then taken for the next one; fields() read NaN and figures still to come; Main left SIGHUP to the virtual machine, which ends on it.

Now the answer is a sequence of parts, each message checked at its first byte, its announced length and its inner lengths; an unreadable report or position is left out, one still to come is not believed; a spoilt answer is an outcome of its own (it may have run) that sets a server aside only when it comes often. A connection is used again only if nothing has come in on it. SIGHUP reads the file anew and moves discovery: whole list first, back-off forgotten, list kept; a bad file changes nothing.

Checked: the tests added for each fail on the code before (the process ends, the values pass).

--- a/src/main/java/stoatrill/Decide.java
+++ b/src/main/java/stoatrill/Decide.java
@@ -36,7 +36,7 @@
   private static final double HINT_OVER = 0.3e9, AT_WORK = 4;
   private static final long STILL = 500 * MS; // a position that stood so long while others went on is stuck
   /** Faults that set a server aside: two nearly in a row, or more where all near it miss. */
-  private static final double FAULTS = 1.5, CHANCE = 0.02;
+  private static final double FAULTS = 1.5, CHANCE = 0.02, SPOILT = 0.5;
   private static final double WARY = 0.02; // share of a zone's requests unanswered that makes bad times
   private static final long LATELY = 1000 * MS; // a server heard of so lately need not be asked first
   private static final double FEW = 0.1, SEVERAL = 0.03; // weights of a sample where some ten, thirty count
@@ -692,6 +692,10 @@
         fault(m, "errors");
       }
       case FULL -> m.fullUntil = now + FULL_REST; // no sign of life: a hung server fills up too
+      case SPOILT -> {
+        answered(m); // it runs, so what spoils an answer now and then is no reason to leave it
+        fault(m, "spoilt answers", SPOILT);
+      }
       case MISS -> {
         answered(m);
         if (r != null && r.kind.need() == Need.WRITE) {
@@ -729,7 +733,11 @@
    * no server's fault. Harm: chance sets one aside for half a second.
    */
   private void fault(Member m, String why) {
-    m.faults += sick(m) ? FAULTS : 1;
+    fault(m, why, sick(m) ? FAULTS : 1);
+  }
+
+  private void fault(Member m, String why, double weight) {
+    m.faults += weight;
     m.lost |= m.faults >= FAULTS && (why.equals("connections") || why.equals("probe"));
     double limit = Math.max(FAULTS, Math.log(CHANCE) / Math.log(unanswered[m.zone]));
     List<Member> group = m.group.members;
@@ -816,6 +824,15 @@
     }
   }
 
+  @Override
+  public void listMoved(long at) {
+    now = at;
+    listFailures = 0;
+    if (settings.asked()) {
+      out.follow(true);
+    }
+  }
+
   private void entry(Gateway.Member e) {
     Member m = byServer.get(e.server());
     if (m == null) {
--- a/src/main/java/stoatrill/Gateway.java
+++ b/src/main/java/stoatrill/Gateway.java
@@ -72,6 +72,9 @@
      */
     void members(long now, ListKind kind, List<Member> members);
 
+    /** The list is to be had from another place; it is followed there only if asked for anew. */
+    void listMoved(long now);
+
     /**
      * A request has arrived. From now on it is owed one final answer, before {@code deadline}.
      *
@@ -125,6 +128,7 @@
     /** The server answered with an error; there may have been an effect. */ ERROR(false),
     /** Turned away unseen. */ FULL(true),
     /** No answer in time; it may have run, and may still run. */ TIMEOUT(false),
+    /** What came can't be read, so it may have run. */ SPOILT(false),
     /** No connection to be had. */ CONNECT_FAILED(true),
     /** The connection broke while the attempt was out; it may have run. */ RESET(false),
     /** Called off; it may have run. */ CANCELLED(false),
--- a/src/main/java/stoatrill/Main.java
+++ b/src/main/java/stoatrill/Main.java
@@ -4,7 +4,10 @@
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.util.concurrent.CountDownLatch;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import stoatrill.config.Config;
 import stoatrill.config.ConfigException;
 import stoatrill.net.EventLoop;
@@ -18,6 +21,8 @@
  * simulator's wire, on standard input and output.
  */
 public final class Main {
+  private static final Logger LOG = LoggerFactory.getLogger(Main.class);
+  private static volatile EventLoop serving;
 
   private Main() {}
 
@@ -33,6 +38,7 @@
 
   private static void serve() {
     CountDownLatch ended = new CountDownLatch(1);
+    onHangUp(Main::reload);
     try {
       EventLoop loop = new EventLoop(Config.read(System.getenv()), PgClient::new, PgServer::new);
       Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -43,6 +49,7 @@
           Thread.currentThread().interrupt();
         }
       }));
+      serving = loop;
       try {
         loop.run();
       } finally {
@@ -55,6 +62,38 @@
     }
   }
 
+  /**
+   * Guards the process from SIGHUP, which by default ends it. The virtual machine's only way to a signal is a
+   * class that javac warns of whenever it is named, so it is reached by name at run time.
+   */
+  private static void onHangUp(Runnable then) {
+    try {
+      Class<?> signal = Class.forName("sun.misc.Signal");
+      Class<?> handler = Class.forName("sun.misc.SignalHandler");
+      Object calls = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
+          (self, method, args) -> {
+            then.run();
+            return null;
+          });
+      signal.getMethod("handle", signal, handler).invoke(null,
+          signal.getConstructor(String.class).newInstance("HUP"), calls);
+    } catch (ReflectiveOperationException | IllegalArgumentException e) {
+      LOG.warn("SIGHUP is not handled here: {}", e.toString());
+    }
+  }
+
+  /** Reads the configuration anew. Each signal has a thread of its own: the last one in reads last. */
+  private static synchronized void reload() {
+    EventLoop loop = serving;
+    if (loop != null) {
+      try {
+        loop.reload(Config.read(System.getenv()));
+      } catch (ConfigException e) {
+        LOG.warn("the configuration is kept as it was: {}", e.getMessage());
+      }
+    }
+  }
+
   private static void simhost() {
     try (BufferedInputStream in = new BufferedInputStream(System.in, 1 << 16);
         FileOutputStream out = new FileOutputStream(FileDescriptor.out)) {
--- a/src/main/java/stoatrill/config/Config.java
+++ b/src/main/java/stoatrill/config/Config.java
@@ -20,9 +20,11 @@
 
 /**
  * What a router is told: the file named by {@code PROXY_CONFIG}, and the variables, which go before it.
- * {@code known} is the list last held, in discovery's form.
+ * {@code known} is the list last held, in discovery's form; {@code filed} is discovery's address as the file
+ * has it, null if it names none.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
+    InetSocketAddress filed, long seed,
     int sockets, String known, Gateway.Settings settings, List<String> zones, List<String> models,
     long connIdle, long connectTimeout, int mostHeld) {
 
@@ -52,6 +54,7 @@
       return new Config(text(all, "name", environment.get("PROXY_NAME"), "router"),
           Endpoint.parse(text(all, "listen", environment.get("PROXY_LISTEN"), "")),
           Endpoint.parse(text(all, "discovery", environment.get("PROXY_DISCOVERY"), "")),
+          all.has("discovery") ? Endpoint.parse(text(all, "discovery", null, "")) : null,
           seed(text(all, "seed", null, "0")),
           limits.has("sockets") ? limits.get("sockets").getAsInt() : USUAL_SOCKETS,
           all.has("known") ? all.get("known").toString() : null,
--- a/src/main/java/stoatrill/core/Effects.java
+++ b/src/main/java/stoatrill/core/Effects.java
@@ -11,6 +11,9 @@
   /** Writes a query; {@code written} follows once the last byte is out, then {@code answered}. */
   void query(long connection, Statement statement, long waitMillis);
 
+  /** Whether nothing has come in on a connection at rest; one that is not quiet is no more to be used. */
+  boolean quiet(long connection);
+
   /** Asks the server at the other end for its load report; {@code answered} follows. */
   void probe(long connection);
 
--- a/src/main/java/stoatrill/core/Reducer.java
+++ b/src/main/java/stoatrill/core/Reducer.java
@@ -24,6 +24,8 @@
   private static final long DECISION_KEEPS = 2 * MILLI;
   /** How long after its deadline a request without a final answer is failed; inside the rules' slack. */
   private static final long BACKSTOP = 5 * MILLI;
+  /** Positions are rounded, commits up, and the clocks are compared now and then. */
+  private static final long POSITION_SLACK = 20 * MILLI;
   private static final long LONGEST_WAIT_MILLIS = 600_000;
   /** The part of the time after which servers close idle connections that they rest here. */
   private static final double IDLE_PART = 0.7;
@@ -155,19 +157,20 @@
     drain();
   }
 
-  /** A connection has ended; {@code full} if the server turned it away because it holds too many. */
-  public void broken(long at, long id, boolean full) {
+  /** A connection has ended, or what came on it can't be read. */
+  public void broken(long at, long id, Break how) {
     now = at;
     ServerPool.Connection c = pool.get(id);
     if (c == null) {
       return;
     }
     Attempt a = c.attempt;
-    pool.broken(now, c, full);
+    pool.broken(now, c, how == Break.FULL);
     pool.refill(now); // the longest waiting first, before what the module sends next
     if (a != null) {
       // Before the last byte the server can't have begun; after it there is no telling.
-      end(a, a.state == Attempt.State.OUT ? Result.RESET : Result.CONNECT_FAILED, null);
+      boolean out = a.state == Attempt.State.OUT;
+      end(a, !out ? Result.CONNECT_FAILED : how == Break.SPOILT ? Result.SPOILT : Result.RESET, null);
     }
     drain();
   }
@@ -199,6 +202,12 @@
     tell(() -> module.members(now, kind, members));
   }
 
+  /** The list is to be had from another place: what failed at the old one says nothing of the new one. */
+  public void listMoved(long at) {
+    now = at;
+    tell(() -> module.listMoved(now));
+  }
+
   /** Time has passed: sweeps the deadlines. Returns when the next one is due. */
   public long tick(long at) {
     now = at;
@@ -419,8 +428,7 @@
     if (result == Result.OK && !r.over) {
       finish(r, new Answer.Served(answer.value()));
     }
-    long position = answer == null || answer.positionMillis() < 0 ? NO_POSITION
-        : clocks.fromWallMillis(answer.positionMillis());
+    long position = answer == null ? NO_POSITION : position(answer);
     Role role = answer == null ? Role.UNKNOWN : answer.role();
     boolean over = r.over;
     if (over && r.out == 0) {
@@ -434,8 +442,8 @@
     if (answer == null) {
       return;
     }
-    if (answer.positionMillis() >= 0) {
-      server.position = Math.max(server.position, clocks.fromWallMillis(answer.positionMillis()));
+    if (position(answer) != NO_POSITION) {
+      server.position = Math.max(server.position, position(answer));
     }
     if (answer.role() != Role.UNKNOWN) {
       server.role = answer.role();
@@ -445,14 +453,24 @@
     }
   }
 
+  /** Guards the rule on the age of data: a position that is still to come is an error, and not believed. */
+  private long believable(long position) {
+    return position <= now + POSITION_SLACK ? position : NO_POSITION;
+  }
+
+  private long position(ServerAnswer answer) {
+    return answer.positionMillis() < 0 ? NO_POSITION
+        : believable(clocks.fromWallMillis(answer.positionMillis()));
+  }
+
   private Report report(Map<String, Double> fields) {
     if (fields == null) {
       return null;
     }
     Double position = fields.get("x0");
     Double primary = fields.get("x1");
-    return new Report(position == null ? NO_POSITION : clocks.fromWallSeconds(position),
-        primary == null ? Role.UNKNOWN : primary == 1 ? Role.PRIMARY : Role.REPLICA,
+    return new Report(position == null ? NO_POSITION : believable(clocks.fromWallSeconds(position)),
+        primary == null ? Role.UNKNOWN : primary == 1 ? Role.PRIMARY : primary == 0 ? Role.REPLICA : Role.UNKNOWN,
         fields.getOrDefault("q", -1.0), fields.getOrDefault("rif", -1.0));
   }
 
--- a/src/main/java/stoatrill/core/ServerPool.java
+++ b/src/main/java/stoatrill/core/ServerPool.java
@@ -77,8 +77,13 @@
   /** Finds a connection for the attempt: a warm one, or one opened for it. */
   void take(long now, Attempt attempt) {
     Server server = attempt.server;
-    Connection warm = server.idle.pollFirst();
-    if (warm != null) {
+    Connection warm;
+    while ((warm = server.idle.peekFirst()) != null) {
+      if (!effects.quiet(warm.id)) {
+        drop(warm);
+        continue;
+      }
+      server.idle.pollFirst();
       warm.limit.cancel();
       if (!owner.write(warm, attempt)) {
         rest(now, warm);
@@ -147,6 +152,12 @@
   void rest(long now, Connection connection) {
     Server server = connection.server;
     connection.attempt = null;
+    if (!server.waiting.isEmpty() && !effects.quiet(connection.id)) {
+      // Guards the next answer: what came behind the last one would be taken for it.
+      drop(connection);
+      open(now, server);
+      return;
+    }
     while (!server.waiting.isEmpty()) {
       Attempt next = server.waiting.iterator().next();
       withdraw(next);
--- a/src/main/java/stoatrill/discovery/DiscoveryClient.java
+++ b/src/main/java/stoatrill/discovery/DiscoveryClient.java
@@ -37,7 +37,7 @@
 
   private final Peer peer;
   private final Deadlines deadlines;
-  private final String host;
+  private String host;
   private long version;
   private boolean following;
   private boolean wantsAll;
@@ -69,6 +69,16 @@
     next(now);
   }
 
+  /** Discovery is elsewhere from now on: a call under way is made there instead, for the whole list. */
+  public void move(long now, String to) {
+    host = to;
+    version = -1; // its versions need not be the old one's
+    wantsAll |= call != Call.NONE;
+    disconnect();
+    finish();
+    next(now);
+  }
+
   private void next(long now) {
     if (call != Call.NONE || !(following || wantsAll)) {
       return;
--- a/src/main/java/stoatrill/net/EventLoop.java
+++ b/src/main/java/stoatrill/net/EventLoop.java
@@ -21,6 +21,7 @@
 import stoatrill.Gateway;
 import stoatrill.config.Config;
 import stoatrill.core.Answer;
+import stoatrill.core.Break;
 import stoatrill.core.ClientRequest;
 import stoatrill.core.Clocks;
 import stoatrill.core.Deadlines;
@@ -53,6 +54,8 @@
   private static final long COMPARE_CLOCKS = 1_000 * MILLI;
 
   private final Config config;
+  private InetSocketAddress filed;
+  private InetSocketAddress discoveryAt;
   private final Function<ClientProtocol.Peer, ClientProtocol> clientProtocol;
   private final Function<ServerProtocol.Peer, ServerProtocol> serverProtocol;
   private final Selector selector;
@@ -71,6 +74,7 @@
   private long clientIds;
   private boolean ready;
   private volatile boolean stopAsked;
+  private volatile Config replacement;
   private boolean stopping;
   private boolean draining;
   private boolean stopped;
@@ -89,9 +93,9 @@
         config.models(), config.connectTimeout(), config.connIdle(), config.mostHeld(), serverSockets,
         config.seed()));
     ServerList known = known(config.known());
-    InetSocketAddress at = config.discovery();
-    this.discovery = new DiscoveryClient(this, deadlines, at.getAddress().getHostAddress() + ":" + at.getPort(),
-        known.version());
+    this.filed = config.filed();
+    this.discoveryAt = config.discovery();
+    this.discovery = new DiscoveryClient(this, deadlines, host(discoveryAt), known.version());
     this.selector = Selector.open();
     this.listener = ServerSocketChannel.open();
     listener.configureBlocking(false);
@@ -165,6 +169,37 @@
     selector.wakeup();
   }
 
+  /** Takes a configuration read anew; may be called from any thread. The newest counts. */
+  public void reload(Config anew) {
+    replacement = anew;
+    selector.wakeup();
+  }
+
+  /**
+   * Moves to the address of discovery that the file has come to name, though a variable may have gone before
+   * it at the start. All else holds until the next start: requests under way were taken by those settings.
+   */
+  private void reconfigure() {
+    Config anew = replacement;
+    if (anew == null) {
+      return;
+    }
+    replacement = null;
+    InetSocketAddress to = anew.filed();
+    boolean moves = to != null && !to.equals(filed) && !to.equals(discoveryAt);
+    filed = to;
+    LOG.info("configuration read anew; discovery {}", moves ? "moves to " + host(to) : "stays");
+    if (moves) {
+      discoveryAt = to;
+      discovery.move(now(), host(to));
+      reducer.listMoved(now());
+    }
+  }
+
+  private static String host(InetSocketAddress at) {
+    return at.getAddress().getHostAddress() + ":" + at.getPort();
+  }
+
   private void turn() throws IOException {
     List<Link> fromClients = new ArrayList<>();
     boolean accept = false;
@@ -186,6 +221,7 @@
     for (int n = later.size(); n > 0; n--) {
       later.poll().run();
     }
+    reconfigure();
     if (stopAsked) {
       wind();
     }
@@ -422,11 +458,11 @@
     }
 
     @Override
-    public void broken(boolean full) {
+    public void broken(Break how) {
       if (servers.remove(id) != null) {
         shut();
       }
-      reducer.broken(now(), id, full);
+      reducer.broken(now(), id, how);
     }
   }
 
@@ -443,7 +479,7 @@
     } catch (IOException e) {
       servers.remove(connection);
       closeQuietly(channel);
-      later.add(() -> reducer.broken(now(), connection, false));
+      later.add(() -> reducer.broken(now(), connection, Break.ENDED));
     }
   }
 
@@ -457,6 +493,12 @@
     }
   }
 
+  @Override
+  public boolean quiet(long connection) {
+    ServerLink link = servers.get(connection);
+    return link != null && link.quiet();
+  }
+
   @Override
   public void query(long connection, Statement statement, long waitMillis) {
     ServerLink link = servers.get(connection);
@@ -514,7 +556,7 @@
       channel = SocketChannel.open();
       DiscoveryLink link = new DiscoveryLink(channel);
       discoveryLink = link;
-      if (channel.connect(config.discovery())) {
+      if (channel.connect(discoveryAt)) {
         later.add(() -> link.up());
       }
     } catch (IOException e) {
--- a/src/main/java/stoatrill/net/Link.java
+++ b/src/main/java/stoatrill/net/Link.java
@@ -128,6 +128,15 @@
     return n > 0;
   }
 
+  /** Whether nothing has come in, nor the end; what has is lost, so an unquiet connection must be closed. */
+  boolean quiet() {
+    try {
+      return channel.read(ByteBuffer.allocate(1)) == 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   /** Ends a connection that the other side has broken. */
   void fail() {
     if (open) {
--- a/src/main/java/stoatrill/net/ServerProtocol.java
+++ b/src/main/java/stoatrill/net/ServerProtocol.java
@@ -1,6 +1,7 @@
 package stoatrill.net;
 
 import java.nio.ByteBuffer;
+import stoatrill.core.Break;
 import stoatrill.core.ServerAnswer;
 import stoatrill.core.Statement;
 
@@ -14,8 +15,8 @@
 
     void answered(ServerAnswer answer, boolean reusable);
 
-    /** The connection can't be used any more; {@code full} if the server holds too many. */
-    void broken(boolean full);
+    /** The connection can't be used any more. */
+    void broken(Break how);
   }
 
   /** What opens the conversation. */
--- a/src/main/java/stoatrill/pg/MessageReader.java
+++ b/src/main/java/stoatrill/pg/MessageReader.java
@@ -48,6 +48,11 @@
     end += more;
   }
 
+  /** The type byte of the message that begins next; -1 if nothing of it has come. */
+  int begins() {
+    return start < end ? buffer[start] & 0xff : -1;
+  }
+
   /** Moves to the next whole message; false if there is none yet. */
   boolean next() throws PgException {
     int head = typed ? 5 : 4;
--- a/src/main/java/stoatrill/pg/PgServer.java
+++ b/src/main/java/stoatrill/pg/PgServer.java
@@ -7,23 +7,30 @@
 import java.util.Map;
 import stoatrill.Gateway.Result;
 import stoatrill.Gateway.Role;
+import stoatrill.core.Break;
 import stoatrill.core.ServerAnswer;
 import stoatrill.core.Statement;
 import stoatrill.net.ServerProtocol;
 
 /** A connection to a server: startup, then one query or probe at a time. */
 public final class PgServer implements ServerProtocol {
-  private static final int LONGEST = 1 << 20;
-  private final MessageReader in = new MessageReader(true, LONGEST);
+  /** A value holds 64 KiB at most, and no other message is nearly as long. */
+  private static final int LONGEST_ROW = (64 << 10) + 64;
+  private static final int LONGEST_OTHER = 8 << 10;
+  private static final int LONGEST_ANSWER = LONGEST_ROW + 4 * LONGEST_OTHER;
+  private static final int LONGEST_NUMBER = 24;
+  private static final int COLUMN = 18; // bytes that describe a column, after its name
+
+  /** How far the answer has come. */
+  private enum Part { GREETING, RESTING, ASKED, COLUMNS, ROW, DONE, ENDED }
+
+  private final MessageReader in = new MessageReader(true, LONGEST_ROW);
   private final Peer peer;
-  private boolean up;
-  private boolean ended;
+  private Part part = Part.GREETING;
   private boolean probing;
-  // The answer as far as it has come.
+  private int taken;
   private final ByteArrayOutputStream value = new ByteArrayOutputStream();
   private String error;
-  private boolean complete;
-  private int rows;
   private Role role = Role.UNKNOWN;
   private long position = -1;
   private Map<String, Double> report;
@@ -39,109 +46,174 @@
 
   @Override
   public byte[] query(Statement statement, long waitMillis) {
-    probing = false;
+    asked(false);
     return Messages.query(statement.withWait(waitMillis));
   }
 
   @Override
   public byte[] probe() {
-    probing = true;
+    asked(true);
     return Messages.query("SHOW usage".getBytes(StandardCharsets.US_ASCII));
   }
 
+  private void asked(boolean probe) {
+    clear();
+    part = Part.ASKED;
+    probing = probe;
+  }
+
   @Override
   public void received(ByteBuffer bytes) {
+    if (part == Part.RESTING) {
+      bytes.position(bytes.limit());
+      end(Break.ENDED); // nothing was asked: whatever this is, it would be taken for the next answer
+      return;
+    }
     in.append(bytes);
     try {
-      while (!ended && in.next()) {
+      while (part != Part.ENDED && part != Part.RESTING && expects(in.begins()) && in.next()) {
         message();
       }
     } catch (PgException e) {
-      end(false);
+      end(Break.SPOILT);
     }
   }
 
+  /**
+   * Whether a message has begun that may come here; its length is then bounded by what it is. Guards against
+   * noise taken for a length, and waiting for, or keeping, gigabytes that were only announced.
+   */
+  private boolean expects(int type) throws PgException {
+    boolean fits = switch (type) {
+      case -1, 'S', 'N', 'E' -> true;
+      case 'R', 'K' -> part == Part.GREETING;
+      case 'T' -> part == Part.ASKED;
+      case 'D' -> part == Part.COLUMNS;
+      case 'C' -> part == Part.ROW;
+      case 'Z' -> part == Part.GREETING || part == Part.DONE;
+      default -> false;
+    };
+    if (!fits || (type == 'E' && (error != null || part == Part.DONE))) {
+      throw new PgException("08P01", "message type " + type + " does not belong here");
+    }
+    in.expect(true, type == 'D' ? LONGEST_ROW : LONGEST_OTHER);
+    return type >= 0;
+  }
+
   private void message() throws PgException {
+    taken += in.size();
+    require(taken <= LONGEST_ANSWER);
     switch (in.type()) {
-      case 'R' -> {
-        if (in.int32(0) != 0) {
-          throw new PgException("28000", "the server asks for a password");
-        }
-      }
+      case 'R' -> require(in.size() == 4 && in.int32(0) == 0); // it asks for no password
       case 'S' -> parameter();
-      case 'T', 'C' -> {
-        value.writeBytes(in.whole());
-        complete |= in.type() == 'C';
+      case 'T' -> {
+        require(in.int16(0) == 1 && in.size() == in.stringEnd(2) + 1 + COLUMN);
+        keep(Part.COLUMNS);
       }
       case 'D' -> {
-        rows++;
-        value.writeBytes(in.whole());
-        if (probing && in.int16(0) == 1 && in.int32(2) >= 0) {
-          report = fields(new String(in.bytes(6, in.int32(2)), StandardCharsets.UTF_8));
+        require(in.int16(0) == 1 && in.int32(2) >= 0 && in.int32(2) == in.size() - 6);
+        keep(Part.ROW);
+        if (probing) {
+          report = fields(new String(in.bytes(6, in.size() - 6), StandardCharsets.UTF_8));
         }
       }
-      case 'E' -> error = sqlState();
-      case 'Z' -> ready();
-      default -> { } // notices, the key for cancels, the answer to an empty query
+      case 'C' -> {
+        require(in.stringEnd(0) == in.size() - 1);
+        keep(Part.DONE);
+      }
+      case 'E' -> {
+        String state = sqlState();
+        // Guards uploads: once it had begun to answer, it can't have turned the request away untouched.
+        error = part == Part.GREETING || part == Part.ASKED ? state : "XX000";
+        part = part == Part.GREETING ? part : Part.DONE;
+      }
+      case 'Z' -> {
+        require(in.size() == 1 && in.bytes(0, 1)[0] == 'I');
+        ready();
+      }
+      default -> { } // notices, and the key for cancels
     }
   }
 
+  private static void require(boolean holds) throws PgException {
+    if (!holds) {
+      throw new PgException("08P01", "malformed message");
+    }
+  }
+
+  private void keep(Part next) {
+    value.writeBytes(in.whole());
+    part = next;
+  }
+
   private void parameter() throws PgException {
     int nameEnd = in.stringEnd(0);
     String name = new String(in.bytes(0, nameEnd), StandardCharsets.UTF_8);
     int valueEnd = in.stringEnd(nameEnd + 1);
+    require(valueEnd == in.size() - 1);
     String text = new String(in.bytes(nameEnd + 1, valueEnd - nameEnd - 1), StandardCharsets.UTF_8);
     switch (name) {
       case "server_role" -> role = text.equals("writer") ? Role.PRIMARY
           : text.equals("reader") ? Role.REPLICA : Role.UNKNOWN;
-      case "commit_clock" -> {
-        try {
-          position = (long) Math.floor(Double.parseDouble(text));
-        } catch (NumberFormatException e) {
-          position = -1; // an unreadable position is no position
-        }
-      }
+      case "commit_clock" -> position = number(text, false) ? Long.parseLong(text) : -1;
       case "usage" -> report = fields(text);
       default -> { }
     }
   }
 
-  /** A load report, {@code name=value} joined by commas; what can't be read is left out. */
+  /** A load report, {@code name=value} joined by commas; null, as if it had not come, if it can't be read. */
   private static Map<String, Double> fields(String text) {
     Map<String, Double> fields = new HashMap<>();
-    for (String field : text.split(",")) {
+    for (String field : text.split(",", -1)) {
       int equals = field.indexOf('=');
-      if (equals > 0) {
-        try {
-          fields.put(field.substring(0, equals).trim(), Double.parseDouble(field.substring(equals + 1)));
-        } catch (NumberFormatException e) {
-          // left out
-        }
+      String value = field.substring(equals + 1);
+      if (equals <= 0 || !number(value, true)) {
+        return null;
       }
+      fields.put(field.substring(0, equals), Double.parseDouble(value));
     }
     return fields;
   }
 
+  /** Whether this is a plain number; what else Java would read, such as NaN, no server means. */
+  private static boolean number(String text, boolean fraction) {
+    int points = 0;
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      points += c == '.' ? 1 : 0;
+      if (c != '.' && (c < '0' || c > '9')) {
+        return false;
+      }
+    }
+    int most = fraction ? LONGEST_NUMBER : 18;
+    return points <= (fraction ? 1 : 0) && text.length() > points && text.length() <= most;
+  }
+
   private String sqlState() throws PgException {
+    String state = null;
     int at = 0;
-    while (at < in.size() && in.bytes(at, 1)[0] != 0) {
+    while (in.bytes(at, 1)[0] != 0) {
       int end = in.stringEnd(at + 1);
       if (in.bytes(at, 1)[0] == 'C') {
-        return new String(in.bytes(at + 1, end - at - 1), StandardCharsets.US_ASCII);
+        state = new String(in.bytes(at + 1, end - at - 1), StandardCharsets.US_ASCII);
       }
       at = end + 1;
     }
-    return "XX000";
+    require(at == in.size() - 1 && state != null && state.matches("[0-9A-Z]{5}"));
+    return state;
   }
 
-  private void ready() {
-    if (!up) {
-      up = true;
-      clear();
+  private void ready() throws PgException {
+    if (part == Part.GREETING) {
+      require(error == null && !in.partial());
+      part = Part.RESTING;
       peer.connectedToServer();
       return;
     }
-    answer(true);
+    // Bytes behind a whole answer: it stands, but the connection can't be trusted with the next.
+    boolean reusable = !in.partial();
+    part = reusable ? Part.RESTING : Part.ENDED;
+    answer(reusable);
   }
 
   private void answer(boolean reusable) {
@@ -152,7 +224,7 @@
 
   private Result result() {
     if (error == null) {
-      return complete && rows == 1 ? Result.OK : Result.ERROR;
+      return Result.OK;
     }
     return switch (error) {
       case "25006", "72000" -> Result.MISS;
@@ -164,28 +236,26 @@
 
   private void clear() {
     value.reset();
+    taken = 0;
     error = null;
-    complete = false;
-    rows = 0;
     role = Role.UNKNOWN;
     position = -1;
     report = null;
   }
 
+  /** The connection ends; an answer that was already whole still counts. */
   @Override
   public void ended() {
-    if (!ended) {
-      end(true);
+    if (part == Part.DONE && !in.partial()) {
+      part = Part.ENDED;
+      answer(false);
+    } else if (part != Part.ENDED) {
+      end(part == Part.GREETING && "53300".equals(error) ? Break.FULL : Break.ENDED);
     }
   }
 
-  /** The connection ends; an answer that was already whole still counts. */
-  private void end(boolean byPeer) {
-    ended = true;
-    if (up && byPeer && (complete || error != null)) {
-      answer(false);
-    } else {
-      peer.broken(!up && "53300".equals(error));
-    }
+  private void end(Break how) {
+    part = Part.ENDED;
+    peer.broken(how);
   }
 }
--- a/src/test/java/stoatrill/ServeScenarioTest.java
+++ b/src/test/java/stoatrill/ServeScenarioTest.java
@@ -32,7 +32,8 @@
 
 /**
  * Starts the program and speaks to it over loopback. Actors: {@code r1}, {@code r2} and {@code p} are scripted
- * servers, {@code list} is discovery, {@code router} the process, any other name a client's connection.
+ * servers, {@code list} is discovery and {@code list2} where it moves, {@code router} the process, which is sent
+ * a signal after its file may have been replaced; any other name is a client's connection.
  */
 class ServeScenarioTest implements Scenario.Stage {
   private static final long PATIENCE_S = 20;
@@ -47,6 +48,9 @@
   private final Map<String, Socket> current = new ConcurrentHashMap<>();
   private final Map<String, Socket> clients = new HashMap<>();
   private Process router;
+  private Path config;
+  private String configText;
+  private String configured = "list";
   private int port;
 
   private void play(String steps) throws Exception {
@@ -55,8 +59,9 @@
       text = text.replaceFirst("127.0.0.1:9\", \"az\"",
           "127.0.0.1:" + listen(s -> serve(server, s)) + "\", \"az\"");
     }
-    text = text.replace("127.0.0.1:9", "127.0.0.1:" + listen(this::discover));
-    Path config = Files.writeString(folder.resolve("config.json"), text);
+    configText = text;
+    config = folder.resolve("config.json");
+    configure("list");
     ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
         "-ea", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "stoatrill.Main", "serve");
     start.environment().keySet().removeIf(name -> name.startsWith("PROXY_"));
@@ -69,12 +74,19 @@
     background(() -> {
       String next;
       while ((next = log.readLine()) != null) {
-        hear("router", next.contains("stopped") ? next.substring(next.indexOf("stopped")) : next);
+        hear("router", next.replaceFirst(".* - ", "").replaceFirst("(moves|kept as it was).*", "$1"));
       }
     });
     Scenario.play(this, steps);
   }
 
+  /** Writes the configuration so that it names that discovery, or writes what is none. */
+  private void configure(String text) throws Exception {
+    boolean discovery = text.startsWith("list");
+    Files.writeString(config, !discovery ? text
+        : configText.replace("127.0.0.1:9", "127.0.0.1:" + listen(s -> discover(text, s))));
+  }
+
   @AfterEach
   void end() throws Exception {
     for (Closeable c : open) {
@@ -217,6 +229,32 @@
         """);
   }
 
+  @Test
+  void atSighupDiscoveryMovesAndWhatIsUnderWayGoesOnAndABadFileChangesNothing() throws Exception {
+    play(CONNECTED + """
+        list expect GET /v1/servers?from=5&hold_ms=20000
+        c send read 1
+        r1 expect read 1
+        router send HUP no configuration
+        router expect the configuration is kept as it was
+        router send HUP list2
+        router expect configuration read anew; discovery moves
+        list2 expect GET /v1/servers
+        list2 send {"rev":2,"all":true,"targets":[{"uid":"r2","endpoint":"127.0.0.1:9","az":"south","pod_group":0,"state":"Ready"}]}
+        list2 expect GET /v1/servers?from=2&hold_ms=20000
+        r1 send row x
+        c expect row x
+        router send HUP list2
+        router expect configuration read anew; discovery stays
+        router send HUP list
+        router send TERM
+        c expect end
+        c close
+        router expect configuration read anew; discovery moves
+        router expect stopped; invariants broken: {}
+        """);
+  }
+
   @Test
   void wrongUsageAndConfigurationEndWithOneLine() throws Exception {
     assertEquals("stoatrill: PROXY_CONFIG is not set", lineOfFailure("serve"));
@@ -239,8 +277,12 @@
   public void send(String actor, String text) throws Exception {
     String[] words = text.split(" ", 2);
     if (actor.equals("router")) {
-      router.toHandle().destroy(); // SIGTERM; leaves its output open
-    } else if (actor.equals("list")) {
+      if (words.length > 1 && !words[1].equals(configured)) {
+        configured = words[1];
+        configure(configured);
+      }
+      new ProcessBuilder("kill", "-" + words[0], Long.toString(router.pid())).start().waitFor();
+    } else if (actor.startsWith("list")) {
       write(current.get(actor), ("HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text)
           .getBytes(StandardCharsets.UTF_8));
     } else if (List.of("r1", "r2", "p").contains(actor)) {
@@ -368,13 +410,13 @@
     }
   }
 
-  private void discover(Socket socket) throws IOException {
+  private void discover(String name, Socket socket) throws IOException {
     BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
     String line;
     while ((line = in.readLine()) != null) {
       if (line.startsWith("GET")) {
-        current.put("list", socket);
-        hear("list", line.replace(" HTTP/1.1", ""));
+        current.put(name, socket);
+        hear(name, line.replace(" HTTP/1.1", ""));
       }
     }
   }
--- a/src/test/java/stoatrill/core/ReducerScenarioTest.java
+++ b/src/test/java/stoatrill/core/ReducerScenarioTest.java
@@ -20,7 +20,8 @@
 
 /**
  * The reducer with fake time. A client sends {@code CLASS NAME WAIT}; a server sends {@code up},
- * {@code taken} (the last byte is written) and outcomes, and expects what is asked of its connections.
+ * {@code taken} (the last byte is written), outcomes, {@code noise} (unasked, found before reuse) and
+ * {@code spoilt}, and expects what is asked of its connections.
  */
 class ReducerScenarioTest implements Scenario.Stage, Effects {
   private static final long MS = 1_000_000L;
@@ -43,6 +44,7 @@
   private final Map<String, Long> connectionOf = new HashMap<>();
   private final Map<Long, String> names = new HashMap<>();
   private long now = START;
+  private final java.util.Set<Long> noisy = new java.util.HashSet<>();
   private long slots;
   private Reducer reducer;
 
@@ -148,6 +150,44 @@
         """);
   }
 
+  @Test
+  void aSpoiltReadIsTriedElsewhereAndASpoiltUploadFails() throws Exception {
+    play(READ_AT_R1 + """
+        r1 send taken
+        r1 send spoilt
+        r2 expect open
+        """ + UPLOAD_AT_P + """
+        p send taken
+        p send spoilt
+        c expect u failed
+        p expect nothing
+        """);
+  }
+
+  @Test
+  void aConnectionOnWhichSomethingCameUnaskedIsNotUsedAgain() throws Exception {
+    play(READ_AT_R1 + """
+        r1 send ok
+        c expect a served
+        r1 send noise
+        c send archive b 500
+        r1 expect close
+        r1 expect open
+        """);
+  }
+
+  @Test
+  void aPositionStillToComeIsNotBelieved() throws Exception {
+    play(READ_AT_R1 + """
+        r1 send future
+        c expect a served
+        wait 400
+        c send recent f 600
+        r1 expect nothing
+        p expect open
+        """);
+  }
+
   @Test
   void aServerThatNeverComesUpIsGivenUpAtTheConnectTimeOut() throws Exception {
     play("""
@@ -272,6 +312,10 @@
     switch (words[0]) {
       case "up" -> reducer.connected(now, connection);
       case "taken" -> reducer.written(connection);
+      case "noise" -> noisy.add(connection);
+      case "spoilt" -> reducer.broken(now, connection, Break.SPOILT);
+      case "future" -> reducer.answered(now, connection,
+          new ServerAnswer(Result.OK, role, now / MS + 60_000, null, new byte[1]), true);
       default -> reducer.answered(now, connection, new ServerAnswer(
           Result.valueOf(words[0].toUpperCase(java.util.Locale.ROOT)), role, now / MS, null, new byte[1]), true);
     }
@@ -288,7 +332,7 @@
     if (actor.equals("c")) {
       reducer.clientGone(now, 1);
     } else {
-      reducer.broken(now, connectionOf.get(actor), false);
+      reducer.broken(now, connectionOf.get(actor), Break.ENDED);
     }
   }
 
@@ -318,6 +362,11 @@
     saw(serverOf.get(connection), "query " + new String(statement.withWait(waitMillis), StandardCharsets.UTF_8));
   }
 
+  @Override
+  public boolean quiet(long connection) {
+    return !noisy.contains(connection);
+  }
+
   @Override
   public void probe(long connection) {
     saw(serverOf.get(connection), "probe");
