Damp the module's swing between servers, and count only listed ones in a cold one's share

At fault: reportedCrowd() took four to be at work where these machines have eight, so that a queue of three nearly doubled what was expected; usualInFlight followed each jam within some ten answers, so a jam soon looked usual; unhurried patience let reads in behind a queue. coldRoom() shared by all members ever listed: 31 after a minute of churn, where 6 were in service. Members gone are now forgotten once nothing is in flight to them.

--- a/src/main/java/stoatrill/Decide.java
+++ b/src/main/java/stoatrill/Decide.java
@@ -29,11 +29,11 @@
   private static final double BUSY = 0.5; // of the aim: a server expected to take longer is busy for a read
   private static final double LEAST_PATIENCE = 0.2, MOST_PATIENCE = 1.0; // of the aim, by worth
   /** So many times what a class takes where nothing waits is no queue yet, within this part of the aim. */
-  private static final double UNHURRIED = 1.4, UNHURRIED_MOST = 0.7;
+  private static final double UNHURRIED = 1.1, UNHURRIED_MOST = 0.7;
   /** Overdue: so many times the usual time (one in ten by chance), but within a part of the aim. */
   private static final double OVERDUE = 2, OVERDUE_MOST = 0.6, MISSED = 4;
   /** What a report shows waiting is a hint that fades; without the number in work, so many are at work. */
-  private static final double HINT_OVER = 0.3e9, AT_WORK = 4;
+  private static final double HINT_OVER = 0.3e9, AT_WORK = 6;
   private static final long STILL = 500 * MS; // a position that stood so long while others went on is stuck
   /** Faults that set a server aside: two nearly in a row, or more where all near it miss. */
   private static final double FAULTS = 1.5, CHANCE = 0.02, SPOILT = 0.5;
@@ -680,7 +680,7 @@
           usual[r.kindAt] = usual(r) + weight(usualAt[r.kindAt], USUAL_OVER) * (took - usual(r));
           usualAt[r.kindAt] = now;
         }
-        m.usualInFlight += FEW * (m.inFlight - m.usualInFlight);
+        m.usualInFlight += FEW * FEW * (m.inFlight - m.usualInFlight);
         m.faults /= 2;
         if (r != null && r.need != NONE && checked) {
           m.position = Math.max(m.position, r.need);
@@ -781,7 +781,8 @@
     }
     double warm = Math.max(0, (double) (now - m.coldSince) / rules.warmAfter());
     double part = rules.coldFrom() + (1 - rules.coldFrom()) * warm;
-    double mine = rate * Math.exp((rateAt - now) / SERVER_OVER) / members.size();
+    long sharing = Math.max(1, members.stream().filter(this::listed).count());
+    double mine = rate * Math.exp((rateAt - now) / SERVER_OVER) / sharing;
     double share = COLD_SHARE * rules.tipMultiple() * part * mine;
     double most = Math.max(1, share * rules.tipAfter() / 1e9 / 2);
     m.coldRoom = Math.min(Math.max(0, m.coldRoom) + share * (now - m.coldAt) / 1e9, most);
@@ -815,7 +816,8 @@
       if (kind == ListKind.FULL && m.lastList < lists) {
         tell(m, m.draining, true);
       }
-      if (m.missing && m.inFlight == 0 && now - Math.max(m.toldAt, m.heardAt) > KEPT) {
+      // Guards against members long replaced, which would take part in every count and every look.
+      if (m.missing && m.inFlight == 0 && (m.gone || now - Math.max(m.toldAt, m.heardAt) > KEPT)) {
         byServer.remove(m.id);
         members.remove(i);
         m.group.members.remove(m);
--- a/src/test/java/stoatrill/DecideTest.java
+++ b/src/test/java/stoatrill/DecideTest.java
@@ -627,8 +627,57 @@
     assertEquals(1, gateway.count("send " + served + " "));
   }
 
+  @Test
+  void aFewWaitingAtALocalReplicaDoNotSendReadsAway() {
+    gateway.report(2, 3, -1);
+    gateway.request(ANY);
+    assertEquals(2, gateway.last());
+    gateway.report(2, 12, -1);
+    gateway.request(ANY);
+    assertNotEquals(2, gateway.last());
+  }
+
+  @Test
+  void serversLongReplacedTakeNothingFromAColdOnesShare() {
+    long fewer = coldOfManyReads(0);
+    assertTrue(fewer > 2, fewer + " reads to the cold server");
+    gateway = start(Effect.UNSAFE, Scope.GROUP);
+    assertEquals(fewer, coldOfManyReads(40), 1);
+  }
+
+  private long coldOfManyReads(int replaced) {
+    for (int i = 0; i < replaced; i++) {
+      for (Gateway.State state : List.of(Gateway.State.READY, Gateway.State.GONE)) {
+        gateway.module.members(gateway.now, Gateway.ListKind.DELTA,
+            List.of(new Gateway.Member(20 + i, 0, 0, 0, 1, 0, false, state)));
+      }
+    }
+    gateway.module.members(gateway.now, Gateway.ListKind.DELTA,
+        List.of(new Gateway.Member(2, 0, 0, 0, 1, gateway.now, false, Gateway.State.READY)));
+    for (int i = 0; i < 200; i++) {
+      gateway.served(ANY);
+      gateway.pass(10);
+    }
+    return gateway.sentTo.stream().filter(s -> s == 2).count();
+  }
+
   // The list.
 
+  @Test
+  void aListThatMovedIsFollowedAtOnceAndItsOldFailuresForgotten() {
+    gateway = Recorder.start(Recorder.asked());
+    for (int i = 0; i < 5; i++) {
+      gateway.module.members(gateway.now, Gateway.ListKind.FAILED, List.of());
+    }
+    gateway.actions.clear();
+    gateway.module.listMoved(gateway.now);
+    assertTrue(gateway.did("follow true"));
+    gateway.module.members(gateway.now, Gateway.ListKind.FAILED, List.of());
+    gateway.actions.clear();
+    gateway.pass(760);
+    assertTrue(gateway.did("follow true"), "the first wait again");
+  }
+
   @Test
   void aFailedListIsAskedForAgain() {
     gateway.module.members(gateway.now, Gateway.ListKind.FAILED, List.of());
--- a/src/test/java/stoatrill/Recorder.java
+++ b/src/test/java/stoatrill/Recorder.java
@@ -60,6 +60,13 @@
         new Replication(check, 50 * MS, true, false, ListedRole.AT_START, false), classes, List.of());
   }
 
+  /** The usual site with a list that comes only when asked for. */
+  static Settings asked() {
+    Settings s = settings(Effect.UNSAFE, Scope.GROUP, Check.NONE, true);
+    return new Settings(s.me(), s.gateways(), s.zone(), s.tick(), true, s.overShareWorth(), s.limits(), s.rules(),
+        s.replication(), s.classes(), s.tenants());
+  }
+
   private static RequestClass kind(String name, long aim, double worth, Need need, long bound, Effect effect,
       Scope scope) {
     return new RequestClass(name, aim * MS, 2000 * MS, worth, 0.5, need, bound * MS, effect, scope,
