Bound what each client costs, end idle ones, and keep nothing of servers that are gone

At fault: EventLoop had no limit of time before a first whole command and let the longest idle go whoever it was; PgClient read on through hundreds of commands in one turn and parsed from within an answer; Reducer clamped d instead of refusing it, did not know ids, and let any number become a group of the module; Reducer.servers was a list that nothing left.

Now: 2 s for a first command and for the rest of one, a sixth of a turn's commands per go (32), a cap on what all unfinished messages hold, silent ones shed first, idle ones ended when room is short; errors for the rest. Servers off the list go with their last connection; writes of sessions are kept only where some class reads them.

--- a/src/main/java/stoatrill/Decide.java
+++ b/src/main/java/stoatrill/Decide.java
@@ -67,7 +67,7 @@
   private final Rules rules;
   private final Replication replication;
   private final RequestClass[] classes;
-  private final boolean checked;
+  private final boolean checked, remembers;
   private final double mostWorth;
   /** By class, the usual time to an answer, and when it was last smoothed. */
   private final double[] usual;
@@ -149,6 +149,8 @@
     this.replication = settings.replication();
     this.classes = settings.classes().toArray(new RequestClass[0]);
     this.checked = settings.replication().check() != Check.NONE;
+    this.remembers = !replication.carried()
+        && Arrays.stream(classes).anyMatch(c -> c.need() == Need.SESSION); // else keys would pile up unread
     this.random = new SplittableRandom(seed);
     this.tenantRoom = new double[settings.tenants().size()];
     Arrays.fill(tenantRoom, BUNCH);
@@ -445,7 +447,7 @@
       believe(m, role, now);
       if (position != NONE) {
         progress(m, position, now - position, now - position);
-        if (r != null && r.kind.need() == Need.WRITE && result == Result.OK && !replication.carried()) {
+        if (remembers && r != null && r.kind.need() == Need.WRITE && result == Result.OK) {
           remember(r.key, position);
         }
       }
--- a/src/main/java/stoatrill/core/ClientRequest.java
+++ b/src/main/java/stoatrill/core/ClientRequest.java
@@ -3,6 +3,7 @@
 /**
  * A request as a client protocol understood it.
  *
+ * @param id what the client calls it; no two open at once may share one
  * @param kind the name of its class
  * @param key the session, or the record asked for
  * @param group the group of servers that may serve it
@@ -11,5 +12,5 @@
  * @param repeat whether the client marked it as a repeat
  * @param writes whether the statement changes data
  */
-public record ClientRequest(String kind, String key, int group, long waitMillis, long afterMillis,
+public record ClientRequest(String id, String kind, String key, int group, long waitMillis, long afterMillis,
     boolean repeat, boolean writes, Statement statement) {}
--- a/src/main/java/stoatrill/core/Reducer.java
+++ b/src/main/java/stoatrill/core/Reducer.java
@@ -3,9 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import stoatrill.Decide;
 import stoatrill.Gateway;
 
@@ -26,7 +28,8 @@
   private static final long BACKSTOP = 5 * MILLI;
   /** Positions are rounded, commits up, and the clocks are compared now and then. */
   private static final long POSITION_SLACK = 20 * MILLI;
-  private static final long LONGEST_WAIT_MILLIS = 600_000;
+  /** Times the longest give-up time that a client may say it waits. */
+  private static final long WAIT_FACTOR = 10;
   /** The part of the time after which servers close idle connections that they rest here. */
   private static final double IDLE_PART = 0.7;
 
@@ -46,7 +49,11 @@
   private final Map<Long, Request> requests = new HashMap<>();
   private final Map<Long, Map<Long, Request>> open = new HashMap<>();
   private final Map<String, ServerPool.Server> byUid = new HashMap<>();
-  private final List<ServerPool.Server> servers = new ArrayList<>();
+  private final Map<Long, ServerPool.Server> servers = new HashMap<>();
+  private final Set<String> names = new HashSet<>(); // of the open requests, as clients call them
+  private final Set<Integer> groups = new HashSet<>();
+  private final long longestWait;
+  private long serverIds;
   private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
   private long now;
   private long requestIds = 1;
@@ -65,6 +72,8 @@
       classPlaces.put(c.name(), classes.size());
       classes.put(c.name(), c);
     }
+    this.longestWait = setup.settings().classes().stream().mapToLong(RequestClass::giveUp).max().orElse(0)
+        / MILLI * WAIT_FACTOR;
     this.module = new Decide(this, setup.settings(), setup.seed());
   }
 
@@ -84,13 +93,18 @@
           new Answer.Invalid("class \"" + kind.name() + "\" is not for this statement"));
       return;
     }
+    String wrong = wrong(asked);
+    if (wrong != null) {
+      effects.answer(client, slot, new Answer.Invalid(wrong));
+      return;
+    }
     if (unanswered >= setup.mostHeld()) {
       effects.answer(client, slot, new Answer.Refused(0));
       return;
     }
-    long wait = Math.max(0, Math.min(LONGEST_WAIT_MILLIS, asked.waitMillis())) * MILLI;
-    Request r = new Request(requestIds++, client, slot, asked, kind, now + wait);
+    Request r = new Request(requestIds++, client, slot, asked, kind, now + asked.waitMillis() * MILLI);
     requests.put(r.id, r);
+    names.add(asked.id());
     open.computeIfAbsent(client, c -> new LinkedHashMap<>()).put(slot, r);
     unanswered++;
     r.backstop = deadlines.at(r.deadline + BACKSTOP, () -> overdue(r));
@@ -99,6 +113,17 @@
         classPlaces.get(kind.name()), 0));
   }
 
+  /** What no server could make sense of, or would take for another client's request; null if nothing. */
+  private String wrong(ClientRequest asked) {
+    if (names.contains(asked.id())) {
+      return "id is in use by a request that is still open";
+    }
+    if (asked.waitMillis() < 1 || asked.waitMillis() > longestWait) {
+      return "d is out of range";
+    }
+    return groups.contains(asked.group()) ? null : "cluster " + asked.group() + " is not known";
+  }
+
   /** A client's connection has ended: nobody waits for its requests any more. */
   public void clientGone(long at, long client) {
     now = at;
@@ -194,10 +219,11 @@
     for (ServerEntry e : entries) {
       ServerPool.Server s = byUid.get(e.uid());
       if (s == null) {
-        s = new ServerPool.Server(servers.size(), e.endpoint());
+        s = new ServerPool.Server(serverIds++, e.endpoint());
         byUid.put(e.uid(), s);
-        servers.add(s);
+        servers.put(s.id, s);
       }
+      groups.add(e.group());
       if (!s.endpoint.equals(e.endpoint())) {
         pool.dropIdle(s);
         s.endpoint = e.endpoint();
@@ -205,11 +231,24 @@
       long started = e.bootMillis() <= 0 ? 0 : Math.min(now, clocks.fromWallMillis(e.bootMillis()));
       members.add(new Member(s.id, e.group(), place(setup.zones(), e.zone()), place(setup.models(), e.model()),
           e.size(), started, e.primary(), e.state()));
-      if (e.state() == State.GONE) {
+      s.listed = e.state() != State.GONE;
+      if (!s.listed) {
         pool.dropIdle(s);
       }
     }
+    if (kind == ListKind.FULL) {
+      Set<String> all = new HashSet<>();
+      entries.forEach(e -> all.add(e.uid()));
+      byUid.forEach((uid, s) -> s.listed &= all.contains(uid));
+    }
     tell(() -> module.members(now, kind, members));
+    // Guards memory on days when servers are replaced throughout: nothing is kept of one that is gone.
+    byUid.values().removeIf(s -> !s.listed && !s.used() && servers.remove(s.id) != null);
+  }
+
+  /** How many servers, requests and names of requests are held. */
+  public List<Integer> held() {
+    return List.of(byUid.size() + servers.size(), requests.size() + open.size(), names.size());
   }
 
   /** The list is to be had from another place: what failed at the old one says nothing of the new one. */
@@ -267,7 +306,13 @@
 
   @Override
   public void send(long request, long server, long timeout) {
-    actions.add(() -> start(request, servers.get((int) server), timeout));
+    actions.add(() -> start(request, server(server), timeout));
+  }
+
+  /** The server of that number; one without an endpoint if it is gone. */
+  private ServerPool.Server server(long id) {
+    ServerPool.Server known = servers.get(id);
+    return known != null ? known : new ServerPool.Server(id, null);
   }
 
   private void start(long id, ServerPool.Server server, long timeout) {
@@ -278,6 +323,10 @@
     Attempt a = new Attempt(r, r.attempts.size(), server, now);
     r.attempts.add(a);
     r.out++;
+    if (server.endpoint == null) {
+      end(a, Result.CONNECT_FAILED, null);
+      return;
+    }
     if (r.over || a.number >= setup.settings().limits().attempts() || now >= r.deadline) {
       end(a, Result.MOOT, null);
       return;
@@ -290,7 +339,11 @@
   @Override
   public void probe(long server) {
     actions.add(() -> {
-      Attempt a = new Attempt(null, 0, servers.get((int) server), now);
+      Attempt a = new Attempt(null, 0, server(server), now);
+      if (a.server.endpoint == null) {
+        end(a, Result.CONNECT_FAILED, null);
+        return;
+      }
       a.timeout = deadlines.at(now + PROBE_TIMEOUT, () -> stop(a, Result.TIMEOUT));
       pool.take(now, a);
     });
@@ -340,7 +393,7 @@
 
   @Override
   public void dropIdle(long server) {
-    actions.add(() -> pool.dropIdle(servers.get((int) server)));
+    actions.add(() -> pool.dropIdle(server(server)));
   }
 
   @Override
@@ -493,6 +546,7 @@
     }
     r.over = true;
     r.backstop.cancel();
+    names.remove(r.asked.id());
     unanswered--;
     if (r.out == 0) {
       requests.remove(r.id);
--- a/src/main/java/stoatrill/core/ServerPool.java
+++ b/src/main/java/stoatrill/core/ServerPool.java
@@ -34,11 +34,19 @@
     private final Set<Attempt> waiting = new LinkedHashSet<>();
     private final ArrayDeque<Connection> idle = new ArrayDeque<>();
     private int connecting;
+    private int connections;
+    /** Whether the list has it; nothing is kept at rest to a server that it has not. */
+    boolean listed = true;
 
     Server(long id, InetSocketAddress endpoint) {
       this.id = id;
       this.endpoint = endpoint;
     }
+
+    /** Whether anything is under way to it, or rests. */
+    boolean used() {
+      return connections > 0 || !waiting.isEmpty();
+    }
   }
 
   /** One connection to a server. */
@@ -117,6 +125,7 @@
       Connection connection = new Connection(ids++, server);
       connections.put(connection.id, connection);
       server.connecting++;
+      server.connections++;
       connection.limit = deadlines.at(now + limits.connectTimeout(), () -> {
         effects.close(connection.id);
         broken(now + limits.connectTimeout(), connection, false);
@@ -165,6 +174,10 @@
         return;
       }
     }
+    if (!server.listed) {
+      drop(connection);
+      return;
+    }
     server.idle.addFirst(connection);
     connection.limit = deadlines.at(now + limits.idle(), () -> drop(connection));
   }
@@ -176,7 +189,9 @@
   }
 
   private void forget(Connection connection) {
-    connections.remove(connection.id);
+    if (connections.remove(connection.id) != null) {
+      connection.server.connections--;
+    }
     connection.server.idle.remove(connection);
     connection.limit.cancel();
   }
--- a/src/main/java/stoatrill/net/ClientProtocol.java
+++ b/src/main/java/stoatrill/net/ClientProtocol.java
@@ -15,6 +15,9 @@
     /** The client asks whether the router is ready; {@link ClientProtocol#ready} tells. */
     boolean ready();
 
+    /** Asks for {@link ClientProtocol#resume} in the next turn. */
+    void yield();
+
     void write(byte[] bytes);
 
     /** Ends the connection once everything written is out. */
@@ -30,12 +33,29 @@
   /** The router has become ready. */
   void ready();
 
+  /** Goes on with what has come in, after {@link Peer#yield}. */
+  void resume();
+
+  /** How many commands have been read whole. */
+  long commands();
+
+  /** How many of them still wait for their answer. */
+  int waiting();
+
+  /** How many bytes are kept of what has not been read as a command yet. */
+  int held();
+
   /** Whether a command read still waits for its answer, or part of one has come in. */
-  boolean busy();
+  default boolean busy() {
+    return waiting() > 0 || held() > 0;
+  }
 
   /** Whether so much is unanswered that no more should be read. */
   boolean congested();
 
   /** Turns the client away for want of room. */
   void turnAway();
+
+  /** Ends the conversation because the rest of what was begun has not come, or is too much to be kept. */
+  void expire();
 }
--- a/src/main/java/stoatrill/net/EventLoop.java
+++ b/src/main/java/stoatrill/net/EventLoop.java
@@ -25,6 +25,7 @@
 import stoatrill.core.ClientRequest;
 import stoatrill.core.Clocks;
 import stoatrill.core.Deadlines;
+import stoatrill.core.Deadlines.Deadline;
 import stoatrill.core.Effects;
 import stoatrill.core.Reducer;
 import stoatrill.core.ServerAnswer;
@@ -53,6 +54,19 @@
   /** The part of that time for which clients are served on before their connections are ended. */
   private static final double SERVE_ON = 0.92;
   private static final long LINGER = 1_000 * MILLI;
+  /** Connections accepted in one turn. */
+  private static final int MOST_ACCEPTED = 64;
+  /** Clients turned away that may linger beyond the room there is; out of the reserve. */
+  private static final int MOST_LINGERING = 16;
+  /** How long a message may take to come whole, a new client to send one, or one be idle when room is short. */
+  private static final long CLIENT_IDLE = 2_000 * MILLI;
+  private static final long LOOK_AT_CLIENTS = 200 * MILLI;
+  /** A client that has said nothing for so long gives way before one that has been served. */
+  private static final long MAY_BE_SILENT = 250 * MILLI;
+  /** The part of the room for clients up to which those that are idle may stay. */
+  private static final double IDLE_ROOM = 0.25;
+  /** Bytes of unfinished messages that all clients together may have here. */
+  private static final long MOST_HELD = 6 << 20;
   private static final long ACCEPT_PAUSE = 100 * MILLI;
   private static final long COMPARE_CLOCKS = 1_000 * MILLI;
 
@@ -75,6 +89,7 @@
   private final int mostClients;
   private DiscoveryLink discoveryLink;
   private long clientIds;
+  private long heldInAll;
   private boolean ready;
   private volatile boolean stopAsked;
   private volatile Config replacement;
@@ -109,6 +124,7 @@
     ready = !known.entries().isEmpty();
     reducer.members(now(), Gateway.ListKind.CACHED, known.entries());
     compareClocks();
+    lookAtClients();
   }
 
   private static ServerList known(String json) {
@@ -274,12 +290,15 @@
   private void accept() {
     try {
       SocketChannel channel;
-      while ((channel = listener.accept()) != null) {
+      for (int n = 0; n < MOST_ACCEPTED && (channel = listener.accept()) != null; n++) {
         boolean room = clients.size() < mostClients || shed();
         ClientLink client = new ClientLink(clientIds++, channel);
         clients.put(client.id, client);
         if (!room) {
           client.protocol.turnAway();
+          if (clients.size() > mostClients + MOST_LINGERING) {
+            client.end();
+          }
         }
       }
     } catch (IOException e) {
@@ -294,15 +313,45 @@
     }
   }
 
-  /** Closes the longest idle client connection; false if all are at work. */
+  /**
+   * Closes a client connection to make room: one that never asked anything, else the longest idle; false if all
+   * are at work. Guards the warm ones from those that connect by hundreds and say nothing.
+   */
   private boolean shed() {
+    ClientLink least = null;
     for (ClientLink client : clients.values()) {
-      if (!client.protocol.busy()) {
+      boolean silent = client.protocol.commands() == 0 && now() - client.since > MAY_BE_SILENT;
+      if (!client.protocol.busy() && (least == null || silent)) {
+        least = client;
+        if (silent) {
+          break;
+        }
+      }
+    }
+    if (least != null) {
+      least.end();
+    }
+    return least != null;
+  }
+
+  /**
+   * Ends the clients that hold a descriptor for nothing. Guards against connects that say nothing, messages that
+   * never end, peers that don't read, and clients that keep a connection which they use no more.
+   */
+  private void lookAtClients() {
+    deadlines.at(now() + LOOK_AT_CLIENTS, this::lookAtClients);
+    int idleMay = (int) (mostClients * IDLE_ROOM);
+    for (ClientLink client : List.copyOf(clients.values())) {
+      if (now() - client.since < CLIENT_IDLE || client.protocol.waiting() > 0) {
+        continue;
+      }
+      if (client.protocol.held() > 0 && !client.closing) {
+        client.protocol.expire();
+      } else if (client.closing || client.queued() > 0 || client.protocol.commands() == 0
+          || clients.size() > idleMay) {
         client.end();
-        return true;
       }
     }
-    return false;
   }
 
   private final class ClientLink extends Link implements ClientProtocol.Peer {
@@ -310,6 +359,10 @@
     private final ClientProtocol protocol;
     private boolean closing;
     private boolean half;
+    private int held;
+    private Deadline linger;
+    /** When it connected, a message began, a command was read or an answer given; whichever came last. */
+    private long since = now();
 
     ClientLink(long id, SocketChannel channel) throws IOException {
       super(EventLoop.this, channel, SelectionKey.OP_READ);
@@ -329,16 +382,41 @@
 
     @Override
     void received(ByteBuffer bytes) {
-      if (!half) {
+      if (!half && !closing) {
         clients.remove(id); // the longest idle one is the first
         clients.put(id, this);
+        boolean begins = protocol.held() == 0;
+        long before = protocol.commands();
         protocol.received(bytes);
-        pace();
+        went(begins || protocol.commands() > before);
       }
     }
 
     void answer(long slot, Answer answer) {
       protocol.answer(slot, answer);
+      went(true);
+    }
+
+    @Override
+    public void yield() {
+      later.add(() -> {
+        if (open() && !closing) {
+          protocol.resume();
+          went(true);
+        }
+      });
+    }
+
+    /** Keeps the accounts after the protocol has taken bytes or an answer. */
+    private void went(boolean on) {
+      since = on ? now() : since;
+      heldInAll += protocol.held() - held;
+      held = protocol.held();
+      if (heldInAll > MOST_HELD && held > BUFFER && !closing) {
+        protocol.expire(); // guards memory from many large messages that are not ended
+        heldInAll += protocol.held() - held;
+        held = protocol.held();
+      }
       pace();
     }
 
@@ -374,7 +452,7 @@
       half = true;
       try {
         channel().shutdownOutput();
-        deadlines.at(now() + LINGER, this::end);
+        linger = deadlines.at(now() + LINGER, this::end);
       } catch (IOException e) {
         later.add(this::end);
       }
@@ -405,6 +483,11 @@
     @Override
     void lost() {
       clients.remove(id);
+      heldInAll -= held;
+      held = 0;
+      if (linger != null) {
+        linger.cancel();
+      }
       reducer.clientGone(now(), id);
     }
   }
--- a/src/main/java/stoatrill/pg/MessageReader.java
+++ b/src/main/java/stoatrill/pg/MessageReader.java
@@ -78,6 +78,17 @@
     return end > start;
   }
 
+  /** Bytes kept that no message read so far has taken. */
+  int held() {
+    return end - start;
+  }
+
+  /** Forgets what is kept. */
+  void clear() {
+    buffer = new byte[0];
+    start = end = 0;
+  }
+
   int type() {
     return type;
   }
--- a/src/main/java/stoatrill/pg/PgClient.java
+++ b/src/main/java/stoatrill/pg/PgClient.java
@@ -8,14 +8,19 @@
 /** A client's connection: startup, simple queries one after another, and answers in their order. */
 public final class PgClient implements ClientProtocol {
   private static final int LONGEST_STARTUP = 10_000;
-  private static final int LONGEST_QUERY = 256 * 1024;
+  /** A value of 64 KiB in hexadecimal, and the statement round it. */
+  private static final int LONGEST_QUERY = 2 * 64 * 1024 + 4096;
   private static final int MOST_WAITING = 64;
+  /** Commands read in one go. Guards the other connections from one that sends hundreds at once. */
+  private static final int MOST_AT_ONCE = 32;
   /** Answers to commands that were read, oldest first; one that is null inside still has to come. */
   private final ArrayDeque<Pending> pending = new ArrayDeque<>();
   private final MessageReader in = new MessageReader(false, LONGEST_STARTUP);
   private final Peer peer;
   private boolean started;
   private long slots;
+  private long commands;
+  private boolean yielded;
   private boolean closed;
   private boolean skipping;
 
@@ -41,16 +46,31 @@
       return;
     }
     in.append(bytes);
+    if (!yielded) {
+      parse();
+    }
+  }
+
+  @Override
+  public void resume() {
+    yielded = false;
     parse();
   }
 
   private void parse() {
+    long most = commands + MOST_AT_ONCE;
     try {
       while (!closed && !started && in.next()) {
         startup();
       }
       while (!closed && started && pending.size() < MOST_WAITING && in.next()) {
+        commands++;
         command();
+        if (commands == most && in.partial()) {
+          yielded = true;
+          peer.yield();
+          return;
+        }
       }
     } catch (PgException e) {
       fatal(e.sqlState, e.getMessage());
@@ -149,8 +169,9 @@
     }
     boolean wasCongested = congested();
     flush();
-    if (wasCongested) {
-      parse();
+    if (wasCongested && !yielded) {
+      yielded = true; // not at once: the answer may come from within a request
+      peer.yield();
     }
   }
 
@@ -189,13 +210,23 @@
   }
 
   @Override
-  public boolean busy() {
-    return !pending.isEmpty() || in.partial();
+  public long commands() {
+    return commands;
+  }
+
+  @Override
+  public int waiting() {
+    return pending.size();
+  }
+
+  @Override
+  public int held() {
+    return in.held();
   }
 
   @Override
   public boolean congested() {
-    return pending.size() >= MOST_WAITING;
+    return yielded || pending.size() >= MOST_WAITING;
   }
 
   @Override
@@ -203,6 +234,11 @@
     fatal("53300", "too many connections");
   }
 
+  @Override
+  public void expire() {
+    fatal("08P01", "the rest of the message has not come");
+  }
+
   /** Ends the conversation with an error, after the answers still owed. */
   private void fatal(String sqlState, String text) {
     reply(Messages.error("FATAL", sqlState, text, null));
@@ -211,6 +247,7 @@
 
   private void close() {
     closed = true;
+    in.clear(); // nothing more is read
     flush();
   }
 }
--- a/src/main/java/stoatrill/pg/PgStatement.java
+++ b/src/main/java/stoatrill/pg/PgStatement.java
@@ -74,10 +74,13 @@
       }
       at = end + 1;
     }
-    if (id == null || id.isEmpty() || kind == null || wait < 0) {
+    if (id == null || kind == null || wait < 0) {
       throw new PgException("42601", "the comment lacks id, c or d");
     }
-    return new ClientRequest(kind, key(text.substring(0, open)), group, wait, after, repeat, writes,
+    if (!id.matches("[0-9A-Za-z_.:-]{1,64}")) {
+      throw new PgException("22023", "id is not of letters and digits");
+    }
+    return new ClientRequest(id, kind, key(text.substring(0, open)), group, wait, after, repeat, writes,
         new PgStatement(statement, waitFrom, waitTo));
   }
 
