Start a rig of real router processes with relays, faults, a history and a checker

Need: the work between router processes is to be shown by tests that start several of them and put faults between them; the lab had only the reducer on simulated time and lab up without faults.

Change: stoatrill.lab.rig. Rig starts stand-in nodes and discovery, a Relay in front of every node (discovery shows the relays' addresses), and routers by the deploy file's run line, each with its own settings and log; it ends them by id, and a shutdown hook kills those left. Relay (TCP, a thread a direction): cut, black hole, delay, and reset of the next answers after a statement reached the node. Process faults by signal: pause (STOP/CONT), kill, term, restart. Clients by the PostgreSQL driver record every request in History, beside the faults; the stand-ins count each upload that ran, by its id. Checker is a pure function of the lines: requests with no final answer (excused where their router was killed meanwhile) and uploads that ran twice.

--- /dev/null
+++ b/lab/src/main/java/stoatrill/lab/rig/History.java
@@ -0,0 +1,51 @@
+package stoatrill.lab.rig;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What happened in a run of the rig, as lines of tab-separated words, in the order they were recorded:
+ *
+ * <pre>
+ * op     ID  KIND  ROUTER  SENT  ENDED  OUTCOME    a client's request: KIND read or upload; times in ns of the rig
+ * fault  AT  WHAT  TARGET                          a fault the rig applied: kill, pause, resume, term, reset
+ * ran    ID  COUNT                                 how often an upload with this id ran at the stand-ins
+ * </pre>
+ *
+ * OUTCOME is {@code ok}, {@code refused} (SQLSTATE 53300 or 57P01: turned away),
+ * {@code error:STATE} (another answer of an error), or {@code none} (the connection broke or the client gave up
+ * before any answer). Safe for any thread.
+ */
+public final class History {
+  private final List<String> lines = new ArrayList<>();
+  private final long start = System.nanoTime();
+
+  /** Nanoseconds since the rig began. */
+  public long now() {
+    return System.nanoTime() - start;
+  }
+
+  public synchronized void op(String id, String kind, String router, long sent, long ended, String outcome) {
+    lines.add(String.join("\t", "op", id, kind, router, Long.toString(sent), Long.toString(ended), outcome));
+  }
+
+  public synchronized void fault(String what, String target) {
+    lines.add(String.join("\t", "fault", Long.toString(now()), what, target));
+  }
+
+  /** Adds what the stand-ins counted, sorted by id so that the same counts give the same lines. */
+  public synchronized void ran(Map<String, Integer> counts) {
+    new TreeMap<>(counts).forEach((id, n) -> lines.add(String.join("\t", "ran", id, Integer.toString(n))));
+  }
+
+  public synchronized List<String> lines() {
+    return List.copyOf(lines);
+  }
+
+  /** How many requests have ended so far. */
+  public synchronized long ops() {
+    return lines.stream().filter(l -> l.startsWith("op\t")).count();
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/stoatrill/lab/rig/Relay.java
@@ -0,0 +1,195 @@
+package stoatrill.lab.rig;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A TCP relay on loopback in front of one process, that does harm to what passes on command. Each accepted
+ * connection is joined to a new one to the target, with one thread a direction. The faults, all of which may be
+ * set from any thread and hold from then on:
+ *
+ * <ul>
+ *   <li>{@link #cut}: connections are refused (reset at once) and those open are reset, until it is healed;
+ *   <li>{@link #blackHole}: connections are accepted and nothing is passed either way;
+ *   <li>{@link #delay}: each chunk in either direction waits so many milliseconds before it goes on;
+ *   <li>{@link #resetAnswers}: the next so many answers (bytes from the target after bytes to it) are not passed:
+ *       both sides are reset instead, in the middle of a request whose statement has reached the target.
+ * </ul>
+ *
+ * A reset is a close with linger 0, so that the peer sees ECONNRESET rather than an orderly end.
+ */
+public final class Relay implements AutoCloseable {
+  private static final int CHUNK = 16 * 1024;
+
+  private final String name;
+  private final InetSocketAddress target;
+  private final ServerSocket listener;
+  private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger resetAnswers = new AtomicInteger();
+  private final AtomicLong resets = new AtomicLong();
+  private final AtomicLong accepted = new AtomicLong();
+  private volatile boolean cut;
+  private volatile boolean blackHole;
+  private volatile long delayMillis;
+  private volatile boolean closed;
+
+  /** Starts to listen on a port that the system chooses. */
+  public Relay(String name, InetSocketAddress target) throws IOException {
+    this.name = name;
+    this.target = target;
+    this.listener = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
+    Thread accept = new Thread(this::accept, "relay-" + name);
+    accept.setDaemon(true);
+    accept.start();
+  }
+
+  /** Where clients of the target are to connect instead. */
+  public InetSocketAddress address() {
+    return new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort());
+  }
+
+  public String name() {
+    return name;
+  }
+
+  /** Refuses and resets all connections while {@code on}. */
+  public void cut(boolean on) {
+    cut = on;
+    if (on) {
+      open.forEach(this::reset);
+    }
+  }
+
+  /** Passes nothing while {@code on}; what was held back is lost. */
+  public void blackHole(boolean on) {
+    blackHole = on;
+  }
+
+  /** Holds each chunk back for {@code millis} (0 to stop). */
+  public void delay(long millis) {
+    delayMillis = millis;
+  }
+
+  /** Resets, instead of passing it, each of the next {@code count} answers that follow a request. */
+  public void resetAnswers(int count) {
+    resetAnswers.set(count);
+  }
+
+  /** Connections reset by a fault so far. */
+  public long resets() {
+    return resets.get();
+  }
+
+  /** Connections accepted so far. */
+  public long accepted() {
+    return accepted.get();
+  }
+
+  private void accept() {
+    while (!closed) {
+      Socket client;
+      try {
+        client = listener.accept();
+      } catch (IOException e) {
+        return; // closed
+      }
+      accepted.incrementAndGet();
+      if (cut) {
+        reset(client);
+        continue;
+      }
+      Socket server = new Socket();
+      try {
+        server.connect(target, 1000);
+      } catch (IOException e) {
+        reset(client); // the target is down: so the client sees it too
+        continue;
+      }
+      open.add(client);
+      open.add(server);
+      boolean[] asked = new boolean[1];
+      AtomicInteger ended = new AtomicInteger();
+      pump(client, server, asked, ended, false);
+      pump(server, client, asked, ended, true);
+    }
+  }
+
+  /** Passes one direction; the second direction to end closes both sockets. */
+  private void pump(Socket from, Socket to, boolean[] asked, AtomicInteger ended, boolean answers) {
+    Thread t = new Thread(() -> {
+      byte[] chunk = new byte[CHUNK];
+      try {
+        InputStream in = from.getInputStream();
+        OutputStream out = to.getOutputStream();
+        int n;
+        while ((n = in.read(chunk)) >= 0) {
+          if (blackHole) {
+            continue;
+          }
+          long delay = delayMillis;
+          if (delay > 0) {
+            Thread.sleep(delay);
+          }
+          if (answers) {
+            synchronized (asked) {
+              if (asked[0] && resetAnswers.getAndUpdate(k -> Math.max(0, k - 1)) > 0) {
+                resets.incrementAndGet();
+                reset(from);
+                reset(to);
+                return;
+              }
+              asked[0] = false;
+            }
+          } else {
+            synchronized (asked) {
+              asked[0] = true;
+            }
+          }
+          out.write(chunk, 0, n);
+          out.flush();
+        }
+        to.shutdownOutput();
+        if (ended.incrementAndGet() == 2) {
+          from.close();
+          to.close();
+          open.remove(from);
+          open.remove(to);
+        }
+      } catch (IOException | InterruptedException e) {
+        reset(from); // one side ended badly: so the other sees it too
+        reset(to);
+      }
+    }, "relay-" + name + (answers ? "-back" : "-on"));
+    t.setDaemon(true);
+    t.start();
+  }
+
+  private void reset(Socket s) {
+    try (s) {
+      s.setSoLinger(true, 0);
+    } catch (IOException e) {
+      // it is closed either way
+    }
+    open.remove(s);
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    try {
+      listener.close();
+    } catch (IOException e) {
+      // nothing more is accepted either way
+    }
+    open.forEach(this::reset);
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -0,0 +1,159 @@
+package stoatrill.lab.rig;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import stoatrill.standins.net.Deployment;
+
+/**
+ * Real router processes, started by the deploy file's {@code run}, in front of stand-in nodes and discovery on
+ * loopback, with a {@link Relay} on every path from a router to a node, and faults on processes and relays. Each
+ * fault is recorded in the {@link History} beside the clients' requests, for the {@link Checker}.
+ *
+ * <p>It owns every process it starts: {@link #close} ends them by id, and a shutdown hook kills those left if the
+ * rig's own JVM ends first. Not safe for several threads, except {@link #doors}, which the clients call.
+ */
+public final class Rig implements AutoCloseable {
+  private static final long NOTICE = 200_000_000L;
+
+  private final RunLine run;
+  private final Path dir;
+  private final Deployment deployment;
+  private final List<Relay> relays = new ArrayList<>();
+  private final List<RouterProc> routers = new ArrayList<>();
+  private final History history = new History();
+  private final Thread hook = new Thread(this::killAll, "rig-hook");
+  private Clients clients;
+
+  /** Starts {@code nodes} stand-in nodes (the first the primary) and {@code routers} routers; returns once all listen. */
+  public Rig(int routers, int nodes, Path dir) throws IOException {
+    this.run = RunLine.find(Path.of(""));
+    this.dir = dir;
+    Runtime.getRuntime().addShutdownHook(hook);
+    List<IOException> failed = new ArrayList<>();
+    deployment = new Deployment(nodes, NOTICE, at -> {
+      try {
+        Relay relay = new Relay("node" + relays.size(), at);
+        relays.add(relay);
+        return relay.address();
+      } catch (IOException e) {
+        failed.add(e);
+        return at;
+      }
+    });
+    try {
+      if (!failed.isEmpty()) {
+        throw failed.get(0);
+      }
+      for (int i = 0; i < routers; i++) {
+        this.routers.add(start(i));
+      }
+      for (RouterProc r : this.routers) {
+        r.await();
+      }
+    } catch (IOException | RuntimeException e) {
+      close();
+      throw e;
+    }
+  }
+
+  private RouterProc start(int i) throws IOException {
+    String name = "router" + i;
+    Path config = Files.writeString(dir.resolve(name + ".json"),
+        deployment.config(name, i % 2 == 0 ? "mona" : "papine", "127.0.0.1:0"), StandardCharsets.UTF_8);
+    return new RouterProc(run, name, config, dir.resolve(name + "." + System.nanoTime() + ".log"));
+  }
+
+  /** Starts {@code count} clients that send {@code uploads} of their requests as uploads (0 to 1). */
+  public void clients(int count, double uploads) {
+    clients = new Clients(count, uploads, this::doors, history);
+  }
+
+  /** The routers that are up now, for clients. */
+  synchronized List<Clients.Door> doors() {
+    return routers.stream().filter(RouterProc::alive).filter(r -> r.port() > 0)
+        .map(r -> new Clients.Door(r.name(), r.port())).toList();
+  }
+
+  public History history() {
+    return history;
+  }
+
+  /** The relay in front of node {@code i}. */
+  public Relay node(int i) {
+    return relays.get(i);
+  }
+
+  public int routers() {
+    return routers.size();
+  }
+
+  /** Pauses router {@code i} by SIGSTOP: it keeps its sockets and does nothing until {@link #resume}. */
+  public void pause(int i) throws IOException {
+    history.fault("pause", routers.get(i).name());
+    routers.get(i).signal("STOP");
+  }
+
+  public void resume(int i) throws IOException {
+    routers.get(i).signal("CONT");
+    history.fault("resume", routers.get(i).name());
+  }
+
+  /** Kills router {@code i} by SIGKILL and waits until it has ended. */
+  public void kill(int i) throws IOException, InterruptedException {
+    history.fault("kill", routers.get(i).name());
+    routers.get(i).signal("KILL");
+    routers.get(i).awaitEnd(Long.MAX_VALUE);
+  }
+
+  /** Ends router {@code i} by SIGTERM and waits until it has ended; it owes every request an answer. */
+  public void term(int i) throws IOException, InterruptedException {
+    history.fault("term", routers.get(i).name());
+    routers.get(i).signal("TERM");
+    routers.get(i).awaitEnd(Long.MAX_VALUE);
+  }
+
+  /** Starts router {@code i} again under the same name, at a new port; returns once it listens. */
+  public void restart(int i) throws IOException {
+    RouterProc anew = start(i);
+    synchronized (this) {
+      routers.set(i, anew);
+    }
+    anew.await();
+    history.fault("start", anew.name());
+  }
+
+  /** Stops the clients, waits for what they have under way, and adds what the stand-ins ran. */
+  public List<String> finish() throws IOException {
+    if (clients != null) {
+      clients.close();
+      clients = null;
+    }
+    history.ran(deployment.ran());
+    return history.lines();
+  }
+
+  private void killAll() {
+    for (RouterProc r : List.copyOf(routers)) {
+      r.kill();
+    }
+  }
+
+  @Override
+  public void close() {
+    if (clients != null) {
+      clients.close();
+    }
+    routers.parallelStream().forEach(RouterProc::close);
+    relays.forEach(Relay::close);
+    deployment.close();
+    try {
+      Runtime.getRuntime().removeShutdownHook(hook);
+    } catch (IllegalStateException ending) {
+      // the JVM is ending already, and the hook runs
+    }
+  }
+}
--- /dev/null
+++ b/lab/src/test/java/stoatrill/lab/rig/CheckerTest.java
@@ -0,0 +1,44 @@
+package stoatrill.lab.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class CheckerTest {
+
+  @Test
+  void aRequestWithNoAnswerBreaksTheRuleUnlessItsRouterWasKilledMeanwhile() {
+    List<String> lines = List.of(
+        "op\tq1\tread\trouter0\t10\t20\tok",
+        "op\tq2\tread\trouter0\t10\t30\tnone",
+        "fault\t45\tkill\trouter1",
+        "op\tq3\tupload\trouter1\t40\t50\tnone",
+        "op\tq4\tupload\trouter1\t50\t60\tnone",
+        "op\tq5\tread\trouter1\t50\t60\trefused",
+        "op\tq6\tread\trouter1\t50\t60\terror:XX000");
+    Checker.Verdict v = Checker.check(lines);
+    assertEquals(List.of("q2", "q4"), v.noFinalAnswer());
+    assertEquals(1, v.excused());
+    assertEquals(6, v.requests());
+    assertEquals(1, v.ok());
+    assertEquals(1, v.refused());
+    assertEquals(1, v.errors());
+    assertFalse(v.clean());
+  }
+
+  @Test
+  void anUploadThatRanTwiceIsNamed() {
+    Checker.Verdict v = Checker.check(List.of("op\tq1\tupload\trouter0\t1\t2\tok", "ran\tq1\t2", "ran\tq2\t1"));
+    assertEquals(List.of("q1"), v.ranTwice());
+    assertTrue(v.noFinalAnswer().isEmpty());
+  }
+
+  @Test
+  void theSameHistoryGivesTheSameVerdict() {
+    List<String> lines = List.of("op\tq1\tread\trouter0\t10\t30\tnone", "ran\tq9\t3");
+    assertEquals(Checker.check(lines), Checker.check(lines));
+  }
+}
--- /dev/null
+++ b/lab/src/test/java/stoatrill/lab/rig/RigTest.java
@@ -0,0 +1,63 @@
+package stoatrill.lab.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real routers with faults between them and on them: every request gets one final answer, no upload runs twice. */
+@Timeout(240)
+class RigTest {
+
+  /** Waits on a condition; the test's time-out ends one that never holds. */
+  private static void until(BooleanSupplier condition) {
+    while (!condition.getAsBoolean()) {
+      Thread.onSpinWait();
+    }
+  }
+
+  @Test
+  void resetsInTheMiddleOfUploadsAPauseAndAKillLoseNothingAndRunNothingTwice(@TempDir Path dir) throws Exception {
+    List<ProcessHandle> started = new ArrayList<>();
+    Checker.Verdict verdict;
+    long resets;
+    try (Rig rig = new Rig(3, 4, dir)) {
+      ProcessHandle.current().children().forEach(started::add);
+      rig.clients(6, 0.3);
+      History h = rig.history();
+      until(() -> h.ops() >= 100);
+
+      rig.node(0).resetAnswers(5); // the primary: answers to uploads are lost after the statement reached it
+      until(() -> rig.node(0).resets() >= 5);
+
+      long before = h.ops();
+      rig.pause(1); // it comes back with what it believed
+      until(() -> h.ops() >= before + 50);
+      rig.resume(1);
+
+      rig.kill(2);
+      long killed = h.ops();
+      until(() -> h.ops() >= killed + 50);
+      rig.restart(2);
+      long back = h.ops();
+      until(() -> h.ops() >= back + 50);
+
+      resets = rig.node(0).resets();
+      verdict = Checker.check(rig.finish());
+    }
+    for (ProcessHandle p : started) {
+      assertFalse(p.isAlive(), "left running: " + p.info().commandLine().orElse("?"));
+    }
+    assertTrue(resets >= 5, "the relay reset " + resets);
+    assertTrue(verdict.requests() >= 250 && verdict.ok() > 0, verdict.toString());
+    assertEquals(List.of(), verdict.noFinalAnswer(), verdict.toString());
+    assertEquals(List.of(), verdict.ranTwice(), verdict.toString());
+  }
+}
--- a/standins/src/main/java/stoatrill/standins/net/Deployment.java
+++ b/standins/src/main/java/stoatrill/standins/net/Deployment.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.UnaryOperator;
 import stoatrill.standins.model.Node;
 import stoatrill.standins.model.NodeSpec;
 import stoatrill.standins.model.ReplicaGroup;
@@ -31,23 +32,31 @@
   private final Discovery discovery;
   private final List<PgNode> nodes = new ArrayList<>();
   private final long notice;
+  private final Records records = new Records();
 
   /** {@code notice}: how long discovery takes to show what happened, in nanoseconds. */
   public Deployment(int count, long notice) throws IOException {
+    this(count, notice, at -> at);
+  }
+
+  /**
+   * As {@link #Deployment(int, long)}, with discovery showing each node at {@code front.apply(its address)}: where
+   * a relay in front of it listens. {@code front} is called once for each node, on the stand-ins' thread.
+   */
+  public Deployment(int count, long notice, UnaryOperator<InetSocketAddress> front) throws IOException {
     this.notice = notice;
     time = new RealTime();
     discovery = new Discovery();
     time.ask(() -> {
       ReplicaGroup group = new ReplicaGroup(0, new ReplicaGroup.Spec(5 * MS, 2 * MS, 1500 * MS, 1500 * MS, 500 * MS,
           4000 * MS, true), time);
-      Records records = new Records();
       for (int i = 0; i < count; i++) {
         Node node = new Node(i, new NodeSpec(4, 1, 64, 0.1, 4, 0.4, 8000 * MS, 3, 1000 * MS, 400, MS, MS / 4, 0,
             150 * MS, 30 * MS), time, 11, n -> { });
         group.add(node, false);
         PgNode pg = new PgNode(time, node, records, WORK);
         nodes.add(pg);
-        discovery.show(entry(i, pg.address()));
+        discovery.show(entry(i, front.apply(pg.address())));
       }
       follow(group, nodes.get(0).node());
       return null;
@@ -165,6 +174,11 @@
     });
   }
 
+  /** The writes that ran at any node, by the request id in their comment, with how often each ran. */
+  public Map<String, Integer> ran() throws IOException {
+    return time.ask(records::ran);
+  }
+
   public Discovery discovery() {
     return discovery;
   }
--- a/standins/src/main/java/stoatrill/standins/net/PgNode.java
+++ b/standins/src/main/java/stoatrill/standins/net/PgNode.java
@@ -309,7 +309,7 @@
         }
         busy = false;
         try {
-          answer(outcome, note, write, key, write ? value(literals.get(1)) : null);
+          answer(outcome, note, write, key, write ? value(literals.get(1)) : null, comment.get("id"));
           if (!parsing) { // else the reply came at once, and the loop that asked goes on
             parse();
             flush();
@@ -320,11 +320,14 @@
       });
     }
 
-    private void answer(Node.Outcome outcome, Node.Note note, boolean write, String key, byte[] written) {
+    private void answer(Node.Outcome outcome, Node.Note note, boolean write, String key, byte[] written, String id) {
       switch (outcome) {
         case OK -> {
           if (write) {
             records.put(key, note.position(), written);
+            if (id != null) {
+              records.ran(id);
+            }
           }
           row(write ? written : records.get(key, note.position()), 17, 1);
           complete(write ? "INSERT 0 1" : "SELECT 1");
--- a/standins/src/main/java/stoatrill/standins/net/Records.java
+++ b/standins/src/main/java/stoatrill/standins/net/Records.java
@@ -14,6 +14,17 @@
   private record Version(long commit, byte[] value) {}
 
   private final Map<String, List<Version>> byKey = new HashMap<>();
+  private final Map<String, Integer> ran = new HashMap<>();
+
+  /** Counts one write that ran under the client's request id, so that one that ran twice can be found. */
+  void ran(String id) {
+    ran.merge(id, 1, Integer::sum);
+  }
+
+  /** The writes that ran, by request id, with how often each ran. */
+  Map<String, Integer> ran() {
+    return Map.copyOf(ran);
+  }
 
   void put(String key, long commit, byte[] value) {
     if (byKey.size() >= KEYS && !byKey.containsKey(key)) {
