--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -30,7 +30,12 @@
 
   /** Starts {@code nodes} stand-in nodes (the first the primary) and {@code routers} routers; returns once all listen. */
   public Rig(int routers, int nodes, Path dir) throws IOException {
-    this.run = RunLine.find(Path.of(""));
+    this(RunLine.find(Path.of("")), routers, nodes, dir);
+  }
+
+  /** As {@link #Rig(int, int, Path)}, with routers started by {@code run}: a test's variant of the program. */
+  public Rig(RunLine run, int routers, int nodes, Path dir) throws IOException {
+    this.run = run;
     this.dir = dir;
     Runtime.getRuntime().addShutdownHook(hook);
     List<IOException> failed = new ArrayList<>();
