Let the rig cut one router off from one node in one direction

Change: a Relay names the peer of each connection by a function of the port it connects from; Rig finds the router that holds that end by the socket's inode in /proc/net/tcp and the routers' descriptors. Relay.deafen (the peer hears nothing) and silence (the node hears nothing) per peer, with a count of chunks withheld; Rig.deafen records the fault in the history.

--- a/lab/src/main/java/stoatrill/lab/rig/Relay.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Relay.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntFunction;
 
 /**
  * A TCP relay on loopback in front of one process, that does harm to what passes on command. Each accepted
@@ -22,9 +23,13 @@
  *   <li>{@link #blackHole}: connections are accepted and nothing is passed either way;
  *   <li>{@link #delay}: each chunk in either direction waits so many milliseconds before it goes on;
  *   <li>{@link #resetAnswers}: the next so many answers (bytes from the target after bytes to it) are not passed:
- *       both sides are reset instead, in the middle of a request whose statement has reached the target.
+ *       both sides are reset instead, in the middle of a request whose statement has reached the target;
+ *   <li>{@link #deafen}: one peer hears nothing from the target, while the target hears it (a one-sided cut);
+ *   <li>{@link #silence}: the target hears nothing from one peer, while the peer hears the target.
  * </ul>
  *
+ * A peer is named, when it connects, by the function given to the relay, from the port it connects from.
+ *
  * A reset is a close with linger 0, so that the peer sees ECONNRESET rather than an orderly end.
  */
 public final class Relay implements AutoCloseable {
@@ -33,19 +38,29 @@
   private final String name;
   private final InetSocketAddress target;
   private final ServerSocket listener;
+  private final IntFunction<String> peers;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+  private final Set<String> deaf = ConcurrentHashMap.newKeySet();
+  private final Set<String> silent = ConcurrentHashMap.newKeySet();
   private final AtomicInteger resetAnswers = new AtomicInteger();
   private final AtomicLong resets = new AtomicLong();
   private final AtomicLong accepted = new AtomicLong();
+  private final AtomicLong withheld = new AtomicLong();
   private volatile boolean cut;
   private volatile boolean blackHole;
   private volatile long delayMillis;
   private volatile boolean closed;
 
-  /** Starts to listen on a port that the system chooses. */
+  /** Starts to listen on a port that the system chooses; peers are not named. */
   public Relay(String name, InetSocketAddress target) throws IOException {
+    this(name, target, port -> "");
+  }
+
+  /** As {@link #Relay(String, InetSocketAddress)}; {@code peers} names a peer by the port it connects from. */
+  public Relay(String name, InetSocketAddress target, IntFunction<String> peers) throws IOException {
     this.name = name;
     this.target = target;
+    this.peers = peers;
     this.listener = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
     Thread accept = new Thread(this::accept, "relay-" + name);
     accept.setDaemon(true);
@@ -79,6 +94,24 @@
     delayMillis = millis;
   }
 
+  /** While {@code on}, the peer so named hears nothing from the target; it is heard. */
+  public void deafen(String peer, boolean on) {
+    if (on) {
+      deaf.add(peer);
+    } else {
+      deaf.remove(peer);
+    }
+  }
+
+  /** While {@code on}, the target hears nothing from the peer so named; the peer hears it. */
+  public void silence(String peer, boolean on) {
+    if (on) {
+      silent.add(peer);
+    } else {
+      silent.remove(peer);
+    }
+  }
+
   /** Resets, instead of passing it, each of the next {@code count} answers that follow a request. */
   public void resetAnswers(int count) {
     resetAnswers.set(count);
@@ -89,6 +122,11 @@
     return resets.get();
   }
 
+  /** Chunks not passed so far, by a black hole, a deaf peer or a silenced one. */
+  public long withheld() {
+    return withheld.get();
+  }
+
   /** Connections accepted so far. */
   public long accepted() {
     return accepted.get();
@@ -118,13 +156,14 @@
       open.add(server);
       boolean[] asked = new boolean[1];
       AtomicInteger ended = new AtomicInteger();
-      pump(client, server, asked, ended, false);
-      pump(server, client, asked, ended, true);
+      String peer = peers.apply(client.getPort());
+      pump(client, server, peer, asked, ended, false);
+      pump(server, client, peer, asked, ended, true);
     }
   }
 
   /** Passes one direction; the second direction to end closes both sockets. */
-  private void pump(Socket from, Socket to, boolean[] asked, AtomicInteger ended, boolean answers) {
+  private void pump(Socket from, Socket to, String peer, boolean[] asked, AtomicInteger ended, boolean answers) {
     Thread t = new Thread(() -> {
       byte[] chunk = new byte[CHUNK];
       try {
@@ -132,7 +171,8 @@
         OutputStream out = to.getOutputStream();
         int n;
         while ((n = in.read(chunk)) >= 0) {
-          if (blackHole) {
+          if (blackHole || (answers ? deaf : silent).contains(peer)) {
+            withheld.incrementAndGet();
             continue;
           }
           long delay = delayMillis;
--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -41,7 +41,7 @@
     List<IOException> failed = new ArrayList<>();
     deployment = new Deployment(nodes, NOTICE, at -> {
       try {
-        Relay relay = new Relay("node" + relays.size(), at);
+        Relay relay = new Relay("node" + relays.size(), at, this::who);
         relays.add(relay);
         return relay.address();
       } catch (IOException e) {
@@ -54,7 +54,10 @@
         throw failed.get(0);
       }
       for (int i = 0; i < routers; i++) {
-        this.routers.add(start(i));
+        RouterProc r = start(i);
+        synchronized (this) {
+          this.routers.add(r);
+        }
       }
       for (RouterProc r : this.routers) {
         r.await();
@@ -121,6 +124,12 @@
     routers.get(i).awaitEnd(Long.MAX_VALUE);
   }
 
+  /** Router {@code i} hears nothing from node {@code node} while {@code on}; the node still hears it. */
+  public void deafen(int i, int node, boolean on) {
+    history.fault(on ? "deafen" : "hear", routers.get(i).name() + "<node" + node);
+    relays.get(node).deafen(routers.get(i).name(), on);
+  }
+
   /** Starts router {@code i} again under the same name, at a new port; returns once it listens. */
   public void restart(int i) throws IOException {
     RouterProc anew = start(i);
@@ -141,6 +150,49 @@
     return history.lines();
   }
 
+  /**
+   * The router that holds the local end of a TCP connection from {@code port} on loopback, found by the socket's
+   * inode in {@code /proc/net/tcp} and the routers' descriptors; "" if none does (a client, or one that ended).
+   */
+  String who(int port) {
+    String inode = null;
+    try {
+      String local = String.format(java.util.Locale.ROOT, ":%04X", port);
+      for (String line : Files.readAllLines(Path.of("/proc/self/net/tcp"))) {
+        String[] f = line.trim().split("\\s+");
+        if (f.length > 9 && f[1].endsWith(local)) {
+          inode = "socket:[" + f[9] + "]";
+          break;
+        }
+      }
+      if (inode == null) {
+        return "";
+      }
+      List<RouterProc> now;
+      synchronized (this) {
+        now = List.copyOf(routers);
+      }
+      for (RouterProc r : now) {
+        try (java.util.stream.Stream<Path> fds = Files.list(Path.of("/proc", Long.toString(r.pid()), "fd"))) {
+          for (Path fd : (Iterable<Path>) fds::iterator) {
+            try {
+              if (Files.readSymbolicLink(fd).toString().equals(inode)) {
+                return r.name();
+              }
+            } catch (IOException closed) {
+              // a descriptor that closed meanwhile is not the one
+            }
+          }
+        } catch (IOException ended) {
+          // a router that ended holds nothing
+        }
+      }
+    } catch (IOException e) {
+      return "";
+    }
+    return "";
+  }
+
   private void killAll() {
     for (RouterProc r : List.copyOf(routers)) {
       r.kill();
--- a/lab/src/test/java/stoatrill/lab/rig/RigTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/RigTest.java
@@ -60,4 +60,36 @@
     assertEquals(List.of(), verdict.noFinalAnswer(), verdict.toString());
     assertEquals(List.of(), verdict.ranTwice(), verdict.toString());
   }
+
+  @Test
+  void aRouterThatCanNotHearThePrimaryAnswersEveryUploadAndRunsNoneTwice(@TempDir Path dir) throws Exception {
+    Checker.Verdict verdict;
+    long cutOff;
+    long withheld;
+    long failedUploads;
+    try (Rig rig = new Rig(2, 4, dir)) {
+      rig.clients(6, 0.5);
+      History h = rig.history();
+      until(() -> h.ops() >= 50);
+      rig.deafen(0, 0, true); // its statements reach the primary and run; no answer comes back
+      long at = h.now();
+      until(() -> endedAt(h, "router0", at) >= 10);
+      rig.deafen(0, 0, false);
+      cutOff = endedAt(h, "router0", at);
+      verdict = Checker.check(rig.finish());
+      withheld = rig.node(0).withheld();
+      failedUploads = h.lines().stream().map(l -> l.split("\t")).filter(f -> f[0].equals("op")
+          && f[2].equals("upload") && f[3].equals("router0") && Long.parseLong(f[5]) > at && !f[6].equals("ok")).count();
+    }
+    assertTrue(cutOff >= 10 && verdict.ok() > 0, verdict.toString());
+    assertTrue(withheld > 0 && failedUploads > 0, "the cut did nothing: " + withheld + " " + failedUploads);
+    assertEquals(List.of(), verdict.noFinalAnswer(), verdict.toString());
+    assertEquals(List.of(), verdict.ranTwice(), verdict.toString());
+  }
+
+  /** Requests of a router that ended after a time (ns of the rig). */
+  private static long endedAt(History h, String router, long after) {
+    return h.lines().stream().map(l -> l.split("\t"))
+        .filter(f -> f[0].equals("op") && f[3].equals(router) && Long.parseLong(f[5]) > after).count();
+  }
 }
