Take out of RunLineTest a debug line left from finding the JDK's Unix socket

It printed a process's descriptors and environment when a socket of another family was found; the assertion after it says what is wrong, and the line only added noise.

--- a/lab/src/test/java/stoatrill/lab/rig/RunLineTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/RunLineTest.java
@@ -130,7 +130,6 @@
     for (Map.Entry<String, Integer> table : others.entrySet()) {
       Set<String> there = inodes(proc, table.getKey(), table.getValue(), table.getValue() + 1);
       there.retainAll(sockets);
-      if (!there.isEmpty()) { System.out.println("DEBUG " + new String(new ProcessBuilder("sh", "-c", "ls -la " + proc + "/fd; grep -h \" " + there.iterator().next() + " \" " + proc + "/net/unix; cat " + proc + "/environ | tr \"\\\\0\" \"\\\\n\"").start().getInputStream().readAllBytes())); }
       assertTrue(there.isEmpty(), "sockets in " + table.getKey() + ", not TCP or UDP over IPv4 (inodes): " + there);
     }
     Set<String> named = inodes(proc, "unix", 6, 8);
