--- a/lab/src/main/java/stoatrill/lab/rig/History.java
+++ b/lab/src/main/java/stoatrill/lab/rig/History.java
@@ -9,7 +9,9 @@
  * What happened in a run of the rig, as lines of tab-separated words, in the order they were recorded:
  *
  * <pre>
- * op     ID  KIND  ROUTER  SENT  ENDED  OUTCOME    a client's request: KIND read or upload; times in ns of the rig
+ * op     ID  KIND  ROUTER  SENT  ENDED  OUTCOME  TRIES   a client's request: KIND read or upload; times in ns
+ *                                                  of the rig; ROUTER the last it was sent to; TRIES 1, or 2 where
+ *                                                  a close crossed it and it was sent once more
  * fault  AT  WHAT  TARGET                          a fault the rig applied: kill, pause, resume, term, reset
  * ran    ID  COUNT                                 how often an upload with this id ran at the stand-ins
  * </pre>
@@ -27,8 +29,10 @@
     return System.nanoTime() - start;
   }
 
-  public synchronized void op(String id, String kind, String router, long sent, long ended, String outcome) {
-    lines.add(String.join("\t", "op", id, kind, router, Long.toString(sent), Long.toString(ended), outcome));
+  public synchronized void op(String id, String kind, String router, long sent, long ended, String outcome,
+      int tries) {
+    lines.add(String.join("\t", "op", id, kind, router, Long.toString(sent), Long.toString(ended), outcome,
+        Integer.toString(tries)));
   }
 
   public synchronized void fault(String what, String target) {
--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -130,6 +130,18 @@
     relays.get(node).deafen(routers.get(i).name(), on);
   }
 
+  /** The relay of node {@code node} resets the next {@code count} answers that follow statements (0 to stop). */
+  public void resetAnswers(int node, int count) {
+    history.fault(count > 0 ? "reset" : "unreset", "node" + node);
+    relays.get(node).resetAnswers(count);
+  }
+
+  /** The relay of node {@code node} resets and refuses every connection while {@code on}. */
+  public void cut(int node, boolean on) {
+    history.fault(on ? "cut" : "heal", "node" + node);
+    relays.get(node).cut(on);
+  }
+
   /** Starts router {@code i} again under the same name, at a new port; returns once it listens. */
   public void restart(int i) throws IOException {
     RouterProc anew = start(i);
--- a/lab/src/test/java/stoatrill/lab/rig/RigTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/RigTest.java
@@ -92,4 +92,23 @@
     return h.lines().stream().map(l -> l.split("\t"))
         .filter(f -> f[0].equals("op") && f[3].equals(router) && Long.parseLong(f[5]) > after).count();
   }
+
+  @Test
+  void aSeededNemesisOfEveryKindLosesNothingAndRunsNothingTwice(@TempDir Path dir) throws Exception {
+    long ms = 1_000_000L;
+    List<Fault> faults = Nemesis.schedule(11, 3, 4, 6_000 * ms, new long[] {300 * ms, 900 * ms},
+        new long[] {200 * ms, 1_500 * ms}, java.util.EnumSet.allOf(Fault.Kind.class));
+    Checker.Verdict verdict;
+    try (Rig rig = new Rig(3, 4, dir)) {
+      rig.clients(6, 0.3);
+      until(() -> rig.history().ops() >= 50);
+      Player.play(rig, faults);
+      long after = rig.history().ops();
+      until(() -> rig.history().ops() >= after + 50);
+      verdict = Checker.check(rig.finish());
+    }
+    assertTrue(faults.size() >= 5, faults.toString());
+    assertEquals(List.of(), verdict.noFinalAnswer(), verdict.toString());
+    assertEquals(List.of(), verdict.ranTwice(), verdict.toString());
+  }
 }
