Add lab chaos: a scenario of faults in the settings form, played on real routers

Need: the issue's schedules in the experiments' settings form and a command that plays one and prints the checker's verdict.

A request that a close crossed is sent once more to another router than the one that closed.

--- a/lab/src/main/java/stoatrill/lab/cli/Lab.java
+++ b/lab/src/main/java/stoatrill/lab/cli/Lab.java
@@ -11,7 +11,7 @@
         "2:wrong usage, or a file that can't be used"},
     description = "A model of a deployment, experiments on it, and a small deployment to try.",
     synopsisSubcommandLabel = "COMMAND",
-    subcommands = {Up.class, Run.class, Experiments.class, Sweep.class, Compare.class, Queue.class, Bench.class})
+    subcommands = {Up.class, Chaos.class, Run.class, Experiments.class, Sweep.class, Compare.class, Queue.class, Bench.class})
 public final class Lab implements Runnable {
   @Spec
   private CommandLine.Model.CommandSpec spec;
--- a/lab/src/main/java/stoatrill/lab/rig/Clients.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Clients.java
@@ -67,10 +67,18 @@
 
   /** Connects the line if it has no connection; false if no router could be reached. */
   private boolean connect(Line line, UniformRandomProvider random) {
+    return connect(line, random, null);
+  }
+
+  /** As {@link #connect(Line, UniformRandomProvider)}, to a router other than {@code not} where there is one. */
+  private boolean connect(Line line, UniformRandomProvider random, String not) {
     if (line.connection != null) {
       return true;
     }
     List<Door> up = doors.get();
+    if (up.size() > 1 && not != null) {
+      up = up.stream().filter(d -> !d.name().equals(not)).toList();
+    }
     if (up.isEmpty()) {
       Thread.onSpinWait();
       return false;
@@ -98,9 +106,10 @@
     long sent = history.now();
     String outcome = "none";
     int tries = 0;
-    while (tries < 2 && (tries == 0 || connect(line, random))) {
+    String router = line.door.name();
+    while (tries < 2 && (tries == 0 || resend(line, random, router))) {
       tries++;
-      String router = line.door.name();
+      router = line.door.name();
       try (Statement s = line.connection.createStatement(); ResultSet r = s.executeQuery(sql)) {
         r.next();
         outcome = "ok";
@@ -126,6 +135,19 @@
     history.op(id, upload ? "upload" : "read", line.door.name(), sent, history.now(), outcome, tries);
   }
 
+  /**
+   * Connects for the one repeat of a request that a close crossed, to another router than the one that closed,
+   * trying each that is up at most once; false if none could be reached.
+   */
+  private boolean resend(Line line, UniformRandomProvider random, String closed) {
+    for (int i = 0; i < Math.max(1, doors.get().size()); i++) {
+      if (connect(line, random, closed)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether the connection ended under the request (rather than the client giving up waiting). */
   private static boolean crossed(Throwable e) {
     for (Throwable t = e; t != null; t = t.getCause()) {
--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -30,7 +30,7 @@
 
   /** Starts {@code nodes} stand-in nodes (the first the primary) and {@code routers} routers; returns once all listen. */
   public Rig(int routers, int nodes, Path dir) throws IOException {
-    this(RunLine.find(Path.of("")), routers, nodes, dir);
+    this(RunLine.find(Path.of(System.getProperty("stoatrill.root", ""))), routers, nodes, dir);
   }
 
   /** As {@link #Rig(int, int, Path)}, with routers started by {@code run}: a test's variant of the program. */
@@ -82,7 +82,7 @@
 
   /** The routers that are up now, for clients. */
   synchronized List<Clients.Door> doors() {
-    return routers.stream().filter(RouterProc::alive).filter(r -> r.port() > 0)
+    return routers.stream().filter(RouterProc::alive).filter(r -> r.port() > 0 && !r.ending())
         .map(r -> new Clients.Door(r.name(), r.port())).toList();
   }
 
--- a/lab/src/main/java/stoatrill/lab/rig/RouterProc.java
+++ b/lab/src/main/java/stoatrill/lab/rig/RouterProc.java
@@ -21,6 +21,7 @@
   private final Path log;
   private final Process process;
   private int port;
+  private volatile boolean ending;
 
   RouterProc(RunLine run, String name, Path config, Path log) throws IOException {
     this.name = name;
@@ -67,6 +68,15 @@
     return process.pid();
   }
 
+  /** Whether it was told to end (SIGTERM), so that new clients go elsewhere. */
+  boolean ending() {
+    return ending;
+  }
+
+  void ending(boolean told) {
+    ending = told;
+  }
+
   boolean alive() {
     return process.isAlive();
   }
