Show that the rig's checker catches a refusal that is never answered

Change: PlantedBugTest compiles any one file of the router anew with a line changed, before the shipped jar on run's line. The new case leaves PgClient's answer unset when it is a refusal, and plays both builds with 2 routers and reads alone while every node's relay is cut until 8 requests ended, then healed.

Measured: planted, requests without a final answer are named; shipped, the same scenario gives refusals and none without an answer.

--- a/lab/src/test/java/stoatrill/lab/rig/PlantedBugTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/PlantedBugTest.java
@@ -16,31 +16,74 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * The checker finds a bug planted in a build of the test's own: the module compiled anew with its guard on uploads
- * that may have run taken out, and put before the shipped jar. The shipped build has no such switch.
+ * The checker finds bugs planted in a build of the test's own: a class of the router compiled anew with a line
+ * changed, and put before the shipped jar on the run line. The shipped build has no such switch. Each is played
+ * beside the shipped build in the same scenario, which must keep the rule.
  */
 @Timeout(240)
 class PlantedBugTest {
   private static final String GUARD = "    if (first == NONE || r.kind.effect() == Effect.SAFE) {";
 
-  @Test
-  void anUploadSentAgainAfterAResetIsCaughtAsRanTwice(@TempDir Path dir) throws Exception {
+  private static final String ANSWERED = "      if (p.slot == slot && p.answer == null) {";
+
+  /**
+   * The run line with one source file of the router changed and compiled anew, before the shipped jar.
+   *
+   * @param file the file under {@code router/src/main/java}
+   */
+  private static RunLine planted(Path dir, String file, String line, String instead) throws Exception {
     RunLine shipped = RunLine.find(Path.of(""));
-    String source = Files.readString(shipped.root().resolve("router/src/main/java/stoatrill/Decide.java"));
-    assertTrue(source.contains(GUARD), "Decide.mayRepeat has changed: plant the bug anew where it guards uploads");
-    Path src = Files.createDirectories(dir.resolve("src/stoatrill"));
+    String source = Files.readString(shipped.root().resolve("router/src/main/java").resolve(file));
+    assertTrue(source.contains(line), file + " has changed: plant the bug anew where it was: " + line.strip());
+    Path src = Files.createDirectories(dir.resolve("src"));
     Path classes = Files.createDirectories(dir.resolve("classes"));
-    Files.writeString(src.resolve("Decide.java"), source.replace(GUARD, "    if (first == NONE || first != NONE) {"));
+    Path changed = src.resolve(Path.of(file).getFileName());
+    Files.writeString(changed, source.replace(line, instead));
     JavaCompiler javac = ToolProvider.getSystemJavaCompiler();
     ByteArrayOutputStream said = new ByteArrayOutputStream();
     int status = javac.run(null, said, said, "-nowarn", "-cp", System.getProperty("java.class.path"), "-d",
-        classes.toString(), src.resolve("Decide.java").toString());
+        classes.toString(), changed.toString());
     assertEquals(0, status, said.toString(StandardCharsets.UTF_8));
     String jar = "-jar router/target/stoatrill.jar";
     assertTrue(shipped.command().contains(jar), shipped.command());
-    RunLine planted = new RunLine(shipped.root(),
+    return new RunLine(shipped.root(),
         shipped.command().replace(jar, "-cp " + classes + ":router/target/stoatrill.jar stoatrill.Main"));
+  }
+
+  @Test
+  void aRefusalLeftUnansweredIsCaughtAsNoFinalAnswer(@TempDir Path dir) throws Exception {
+    RunLine planted = planted(dir, "stoatrill/pg/PgClient.java", ANSWERED,
+        "      if (p.slot == slot && p.answer == null && !(answer instanceof Answer.Refused)) {");
+    Checker.Verdict caught = cutOff(planted, Files.createDirectories(dir.resolve("planted")));
+    assertFalse(caught.noFinalAnswer().isEmpty(), "the planted bug was not caught: " + caught);
+    Checker.Verdict kept = cutOff(RunLine.find(Path.of("")), Files.createDirectories(dir.resolve("shipped")));
+    assertTrue(kept.refused() > 0, "nothing was refused, so the scenario shows nothing: " + kept);
+    assertEquals(List.of(), kept.noFinalAnswer(), "the shipped build left requests unanswered: " + kept);
+  }
+
+  /** Reads alone, by 2 routers, while every node is cut off until 8 requests ended. */
+  private static Checker.Verdict cutOff(RunLine run, Path dir) throws Exception {
+    try (Rig rig = new Rig(run, 2, 4, dir)) {
+      rig.clients(4, 0);
+      until(() -> rig.history().ops() >= 20);
+      long before = rig.history().ops();
+      for (int node = 0; node < 4; node++) {
+        rig.cut(node, true);
+      }
+      until(() -> rig.history().ops() >= before + 8);
+      for (int node = 0; node < 4; node++) {
+        rig.cut(node, false);
+      }
+      long after = rig.history().ops();
+      until(() -> rig.history().ops() >= after + 20);
+      return Checker.check(rig.finish());
+    }
+  }
 
+  @Test
+  void anUploadSentAgainAfterAResetIsCaughtAsRanTwice(@TempDir Path dir) throws Exception {
+    RunLine shipped = RunLine.find(Path.of(""));
+    RunLine planted = planted(dir, "stoatrill/Decide.java", GUARD, "    if (first == NONE || first != NONE) {");
     Checker.Verdict caught = play(planted, Files.createDirectories(dir.resolve("planted")));
     assertFalse(caught.ranTwice().isEmpty(), "the planted bug was not caught: " + caught);
     Checker.Verdict kept = play(shipped, Files.createDirectories(dir.resolve("shipped")));
