End the rig's routers by a watchdog when the rig's own JVM is killed

Need: the issue's hard case of the rig itself killed: with SIGKILL no shutdown hook runs, and the routers it started went on running.

--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -13,8 +13,8 @@
  * loopback, with a {@link Relay} on every path from a router to a node, and faults on processes and relays. Each
  * fault is recorded in the {@link History} beside the clients' requests, for the {@link Checker}.
  *
- * <p>It owns every process it starts: {@link #close} ends them by id, and a shutdown hook kills those left if the
- * rig's own JVM ends first. Not safe for several threads, except {@link #doors}, which the clients call.
+ * <p>It owns every process it starts: {@link #close} ends them by id, a shutdown hook kills those left if the
+ * rig's own JVM ends first, and a {@link Watchdog} kills them if that JVM is killed. Not safe for several threads, except {@link #doors}, which the clients call.
  */
 public final class Rig implements AutoCloseable {
   private static final long NOTICE = 200_000_000L;
@@ -26,6 +26,7 @@
   private final List<RouterProc> routers = new ArrayList<>();
   private final History history = new History();
   private final Thread hook = new Thread(this::killAll, "rig-hook");
+  private final Watchdog watchdog;
   private Clients clients;
 
   /** Starts {@code nodes} stand-in nodes (the first the primary) and {@code routers} routers; returns once all listen. */
@@ -37,6 +38,7 @@
   public Rig(RunLine run, int routers, int nodes, Path dir) throws IOException {
     this.run = run;
     this.dir = dir;
+    this.watchdog = new Watchdog();
     Runtime.getRuntime().addShutdownHook(hook);
     List<IOException> failed = new ArrayList<>();
     deployment = new Deployment(nodes, NOTICE, at -> {
@@ -72,7 +74,10 @@
     String name = "router" + i;
     Path config = Files.writeString(dir.resolve(name + ".json"),
         deployment.config(name, i % 2 == 0 ? "mona" : "papine", "127.0.0.1:0"), StandardCharsets.UTF_8);
-    return new RouterProc(run, name, config, dir.resolve(name + "." + System.nanoTime() + ".log"));
+    RouterProc r = new RouterProc(run, name, config, dir.resolve(name + "." + System.nanoTime() + ".log"));
+    watchdog.started(r.pid());
+    r.onEnd(() -> watchdog.ended(r.pid()));
+    return r;
   }
 
   /** Starts {@code count} clients that send {@code uploads} of their requests as uploads (0 to 1). */
@@ -217,6 +222,7 @@
       clients.close();
     }
     routers.parallelStream().forEach(RouterProc::close);
+    watchdog.close();
     relays.forEach(Relay::close);
     deployment.close();
     try {
--- a/lab/src/main/java/stoatrill/lab/rig/RouterProc.java
+++ b/lab/src/main/java/stoatrill/lab/rig/RouterProc.java
@@ -68,6 +68,11 @@
     return process.pid();
   }
 
+  /** Runs {@code then} once the process has ended, on a thread of the JDK's. */
+  void onEnd(Runnable then) {
+    process.onExit().thenRun(then);
+  }
+
   /** Whether it was told to end (SIGTERM), so that new clients go elsewhere. */
   boolean ending() {
     return ending;
