--- a/lab/src/main/java/stoatrill/lab/rig/Relay.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Relay.java
@@ -20,12 +20,9 @@
  *
  * <ul>
  *   <li>{@link #cut}: connections are refused (reset at once) and those open are reset, until it is healed;
- *   <li>{@link #blackHole}: connections are accepted and nothing is passed either way;
- *   <li>{@link #delay}: each chunk in either direction waits so many milliseconds before it goes on;
  *   <li>{@link #resetAnswers}: the next so many answers (bytes from the target after bytes to it) are not passed:
  *       both sides are reset instead, in the middle of a request whose statement has reached the target;
- *   <li>{@link #deafen}: one peer hears nothing from the target, while the target hears it (a one-sided cut);
- *   <li>{@link #silence}: the target hears nothing from one peer, while the peer hears the target.
+ *   <li>{@link #deafen}: one peer hears nothing from the target, while the target hears it (a one-sided cut).
  * </ul>
  *
  * A peer is named, when it connects, by the function given to the relay, from the port it connects from.
@@ -41,14 +38,10 @@
   private final IntFunction<String> peers;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
   private final Set<String> deaf = ConcurrentHashMap.newKeySet();
-  private final Set<String> silent = ConcurrentHashMap.newKeySet();
   private final AtomicInteger resetAnswers = new AtomicInteger();
   private final AtomicLong resets = new AtomicLong();
-  private final AtomicLong accepted = new AtomicLong();
   private final AtomicLong withheld = new AtomicLong();
   private volatile boolean cut;
-  private volatile boolean blackHole;
-  private volatile long delayMillis;
   private volatile boolean closed;
 
   /** Starts to listen on a port that the system chooses; peers are not named. */
@@ -84,15 +77,7 @@
     }
   }
 
-  /** Passes nothing while {@code on}; what was held back is lost. */
-  public void blackHole(boolean on) {
-    blackHole = on;
-  }
 
-  /** Holds each chunk back for {@code millis} (0 to stop). */
-  public void delay(long millis) {
-    delayMillis = millis;
-  }
 
   /** While {@code on}, the peer so named hears nothing from the target; it is heard. */
   public void deafen(String peer, boolean on) {
@@ -103,14 +88,6 @@
     }
   }
 
-  /** While {@code on}, the target hears nothing from the peer so named; the peer hears it. */
-  public void silence(String peer, boolean on) {
-    if (on) {
-      silent.add(peer);
-    } else {
-      silent.remove(peer);
-    }
-  }
 
   /** Resets, instead of passing it, each of the next {@code count} answers that follow a request. */
   public void resetAnswers(int count) {
@@ -122,15 +99,11 @@
     return resets.get();
   }
 
-  /** Chunks not passed so far, by a black hole, a deaf peer or a silenced one. */
+  /** Chunks not passed so far to a deaf peer. */
   public long withheld() {
     return withheld.get();
   }
 
-  /** Connections accepted so far. */
-  public long accepted() {
-    return accepted.get();
-  }
 
   private void accept() {
     while (!closed) {
@@ -140,7 +113,6 @@
       } catch (IOException e) {
         return; // closed
       }
-      accepted.incrementAndGet();
       if (cut) {
         reset(client);
         continue;
@@ -171,14 +143,10 @@
         OutputStream out = to.getOutputStream();
         int n;
         while ((n = in.read(chunk)) >= 0) {
-          if (blackHole || (answers ? deaf : silent).contains(peer)) {
+          if (answers && deaf.contains(peer)) {
             withheld.incrementAndGet();
             continue;
           }
-          long delay = delayMillis;
-          if (delay > 0) {
-            Thread.sleep(delay);
-          }
           if (answers) {
             synchronized (asked) {
               if (asked[0] && resetAnswers.getAndUpdate(k -> Math.max(0, k - 1)) > 0) {
@@ -204,7 +172,7 @@
           open.remove(from);
           open.remove(to);
         }
-      } catch (IOException | InterruptedException e) {
+      } catch (IOException e) {
         reset(from); // one side ended badly: so the other sees it too
         reset(to);
       }
--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -100,10 +100,6 @@
     return relays.get(i);
   }
 
-  public int routers() {
-    return routers.size();
-  }
-
   /** Pauses router {@code i} by SIGSTOP: it keeps its sockets and does nothing until {@link #resume}. */
   public void pause(int i) throws IOException {
     history.fault("pause", routers.get(i).name());
