Keep a primary's queue out of the crowd that replicas not heard of lately are taken to have

A line for each refusal of what the module knew then: usual time 300 ms, patience 321 to 342 ms, and replicas without any report expected to take 400 to 700 ms, as the group's mean crowd was 0.3 to 1.1; the primary's own was 5 to 12.

At fault: reported() moved the group's mean by every report, the primary's too. A queue of writes at the primary, usual after a failover, became the expected queue of each replica not heard of in the last 0.3 s (reportedCrowd()).

--- a/router/src/main/java/stoatrill/Decide.java
+++ b/router/src/main/java/stoatrill/Decide.java
@@ -418,7 +418,7 @@
   }
 
   /**
-   * Requests waiting for each one at work, by the last report; the older, the more the group's mean counts.
+   * Requests waiting for each one at work, by the last report; the older, the more its replicas' mean counts.
    * Guards against many gateways that each take a crowded server, seldom heard of, for an idle one.
    */
   private double reportedCrowd(Member m) {
@@ -566,8 +566,10 @@
       double atWork = report.held() > report.waiting() ? report.held() - report.waiting() : AT_WORK;
       m.crowd = report.waiting() / Math.max(1, atWork);
       Group g = m.group;
-      g.crowd += SEVERAL * (m.crowd - g.crowd); // of one report little: the others may be idle
-      g.crowdAt = now;
+      if (m != g.primary) { // a queue of writes says nothing of replicas
+        g.crowd += SEVERAL * (m.crowd - g.crowd); // of one report little: the others may be idle
+        g.crowdAt = now;
+      }
     }
     if (report.position() == NONE) {
       return;
--- a/router/src/test/java/stoatrill/DecideTest.java
+++ b/router/src/test/java/stoatrill/DecideTest.java
@@ -406,6 +406,21 @@
     assertEquals(1, gateway.count("refuse"), "a report of a second ago counted as no queue");
   }
 
+  /** Writes queue at a primary alone, above all after a failover; no replica is crowded for that. */
+  @Test
+  void aQueueAtThePrimaryRefusesNoReadThatReplicasNotHeardOfLatelyMayTake() {
+    gateway.served(WRITE); // so that the module knows who leads
+    for (int i = 0; i < 60; i++) {
+      gateway.pass(50);
+      gateway.report(1, 40, -1);
+    }
+    for (int i = 0; i < 3; i++) {
+      gateway.request(ANY);
+      assertNotEquals(1, gateway.last());
+    }
+    assertEquals(0, gateway.count("refuse"));
+  }
+
   @Test
   void writesStillGoToAPrimaryThatRestsForItsErrors() {
     for (int i = 0; i < 4 && !gateway.did("log server rests: errors"); i++) {
