Smooth the crowd of a group's replicas over time, so that it means the same at any rate

At 2 routers a router hears some 350 reports a second, at 60 some 10: a weight of 0.03 a report is a memory of 0.1 s there and of 3 s here.

At fault: reported() moved the mean by a constant a report, as no other smoothed figure of the module is moved. A hundred answers of one busy replica within 0.1 s tell the same queue a hundred times, and became the whole group's. Now the weight is by the time since the last report, as for slowness (3 s), and a lone report counts 0.03 as before.

--- a/router/src/main/java/stoatrill/Decide.java
+++ b/router/src/main/java/stoatrill/Decide.java
@@ -567,7 +567,8 @@
       m.crowd = report.waiting() / Math.max(1, atWork);
       Group g = m.group;
       if (m != g.primary) { // a queue of writes says nothing of replicas
-        g.crowd += SEVERAL * (m.crowd - g.crowd); // of one report little: the others may be idle
+        // Of one report little: the others may be idle. Of many in a moment no more: they tell the same.
+        g.crowd += Math.min(SEVERAL, weight(g.crowdAt, SERVER_OVER)) * (m.crowd - g.crowd);
         g.crowdAt = now;
       }
     }
--- a/router/src/test/java/stoatrill/DecideTest.java
+++ b/router/src/test/java/stoatrill/DecideTest.java
@@ -421,6 +421,19 @@
     assertEquals(0, gateway.count("refuse"));
   }
 
+  /** At a high rate one busy replica answers a hundred times in a moment; that is still one replica's queue. */
+  @Test
+  void manyReportsOfOneReplicaInAMomentRefuseNothingThatOthersMayTake() {
+    gateway.report(2, 0, 1);
+    for (int i = 0; i < 100; i++) {
+      gateway.now += MS;
+      gateway.report(2, 40, 46);
+    }
+    gateway.request(ANY);
+    assertNotEquals(2, gateway.last());
+    assertEquals(0, gateway.count("refuse"));
+  }
+
   @Test
   void writesStillGoToAPrimaryThatRestsForItsErrors() {
     for (int i = 0; i < 4 && !gateway.did("log server rests: errors"); i++) {
