Let the rig make replicas lag, and its checker catch reads answered from data past their bound

Change: stand-in nodes note how old their data is when a recent read comes to them; the history holds that as age lines; the checker names reads answered from data over 800 ms old (the bound of 300 and 500 for a busy machine), unless the router was paused meanwhile. New fault lag: a node applies the log 10,000 times more slowly. It is in scenarios and in the nemesis, and every test of the rig now also asserts that nothing stale was answered.

--- a/lab/src/main/java/stoatrill/lab/cli/Chaos.java
+++ b/lab/src/main/java/stoatrill/lab/cli/Chaos.java
@@ -65,6 +65,7 @@
         v.refused(), v.errors(), v.excused(), v.repeated());
     print.printf("no final answer  %d  %s%n", v.noFinalAnswer().size(), first(v.noFinalAnswer()));
     print.printf("ran twice        %d  %s%n", v.ranTwice().size(), first(v.ranTwice()));
+    print.printf("stale            %d  %s%n", v.stale().size(), first(v.stale()));
     print.printf("%s seed=%d routers=%d faults=%d clean=%b history=%s%n", s.name(), seed, s.routers(),
         s.faults().size(), v.clean(), dir.resolve("history.tsv"));
     return v.clean() ? 0 : 1;
--- a/lab/src/main/java/stoatrill/lab/rig/Checker.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Checker.java
@@ -11,28 +11,42 @@
  * <ul>
  *   <li><b>no final answer</b>: a request that ended with outcome {@code none} at a router that was not killed
  *       while it was under way (a killed router can't answer; every other router owes an answer);
- *   <li><b>ran twice</b>: an upload that ran more than once at the stand-ins.
+ *   <li><b>ran twice</b>: an upload that ran more than once at the stand-ins;
+ *   <li><b>stale</b>: a bounded read answered from data older than {@value #STALE_MILLIS} ms when it came to the
+ *       node, at a router that was not paused while it was under way (what is paused between deciding and writing
+ *       writes late, and no router can help that).
  * </ul>
  *
  * It counts besides the requests that a close crossed and that the client sent once more.
  */
 public final class Checker {
+  /** The bound of 300 ms that clients' reads have, and 500 ms for a relay and a node that a busy machine holds up. */
+  static final long STALE_MILLIS = 800;
+
   private Checker() {}
 
   /** The verdict: counts, and the ids of the requests that break each rule. */
   public record Verdict(long requests, long ok, long refused, long errors, long excused, long repeated,
-      List<String> noFinalAnswer, List<String> ranTwice) {
+      List<String> noFinalAnswer, List<String> ranTwice, List<String> stale) {
     public boolean clean() {
-      return noFinalAnswer.isEmpty() && ranTwice.isEmpty();
+      return noFinalAnswer.isEmpty() && ranTwice.isEmpty() && stale.isEmpty();
     }
   }
 
   public static Verdict check(List<String> lines) {
     Map<String, List<Long>> kills = new HashMap<>();
+    Map<String, List<long[]>> pauses = new HashMap<>();
+    Map<String, String[]> reads = new HashMap<>();
     for (String line : lines) {
       String[] f = line.split("\t");
       if (f[0].equals("fault") && f[2].equals("kill")) {
         kills.computeIfAbsent(f[3], r -> new ArrayList<>()).add(Long.parseLong(f[1]));
+      } else if (f[0].equals("fault") && f[2].equals("pause")) {
+        pauses.computeIfAbsent(f[3], r -> new ArrayList<>()).add(new long[] {Long.parseLong(f[1]), Long.MAX_VALUE});
+      } else if (f[0].equals("fault") && f[2].equals("resume") && pauses.containsKey(f[3])) {
+        pauses.get(f[3]).get(pauses.get(f[3]).size() - 1)[1] = Long.parseLong(f[1]);
+      } else if (f[0].equals("op") && f[6].equals("ok")) {
+        reads.put(f[1], f);
       }
     }
     long requests = 0;
@@ -43,6 +57,7 @@
     long repeated = 0;
     List<String> none = new ArrayList<>();
     List<String> twice = new ArrayList<>();
+    List<String> stale = new ArrayList<>();
     for (String line : lines) {
       String[] f = line.split("\t");
       switch (f[0]) {
@@ -71,9 +86,22 @@
             twice.add(f[1]);
           }
         }
+        case "age" -> {
+          String[] op = reads.get(f[1]);
+          if (op != null && Long.parseLong(f[2]) > STALE_MILLIS && !pausedUnder(op, pauses)) {
+            stale.add(f[1]);
+          }
+        }
         default -> { }
       }
     }
-    return new Verdict(requests, ok, refused, errors, excused, repeated, List.copyOf(none), List.copyOf(twice));
+    return new Verdict(requests, ok, refused, errors, excused, repeated, List.copyOf(none), List.copyOf(twice),
+        List.copyOf(stale));
+  }
+
+  private static boolean pausedUnder(String[] op, Map<String, List<long[]>> pauses) {
+    long sent = Long.parseLong(op[4]);
+    long ended = Long.parseLong(op[5]);
+    return pauses.getOrDefault(op[3], List.of()).stream().anyMatch(p -> p[0] <= ended && p[1] >= sent);
   }
 }
--- a/lab/src/main/java/stoatrill/lab/rig/Fault.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Fault.java
@@ -25,6 +25,8 @@
     DEAFEN,
     /** The node's relay resets the answers that follow statements, for the span. */
     RESET,
+    /** The node applies the log so slowly that its data stands nearly still, for the span; of no effect on a primary. */
+    LAG,
     /** The node's relay is cut for the span: connections to the node are reset and refused. */
     CUT;
 
--- a/lab/src/main/java/stoatrill/lab/rig/History.java
+++ b/lab/src/main/java/stoatrill/lab/rig/History.java
@@ -12,8 +12,9 @@
  * op     ID  KIND  ROUTER  SENT  ENDED  OUTCOME  TRIES   a client's request: KIND read or upload; times in ns
  *                                                  of the rig; ROUTER the last it was sent to; TRIES 1, or 2 where
  *                                                  a close crossed it and it was sent once more
- * fault  AT  WHAT  TARGET                          a fault the rig applied: kill, pause, resume, term, reset
+ * fault  AT  WHAT  TARGET                          a fault the rig applied: kill, pause, resume, term, reset, …
  * ran    ID  COUNT                                 how often an upload with this id ran at the stand-ins
+ * age    ID  MILLIS                                how old a node's data was when this bounded read came to it
  * </pre>
  *
  * OUTCOME is {@code ok}, {@code refused} (SQLSTATE 53300 or 57P01: turned away),
@@ -23,6 +24,7 @@
 public final class History {
   private final List<String> lines = new ArrayList<>();
   private final long start = System.nanoTime();
+  private long ops;
 
   /** Nanoseconds since the rig began. */
   public long now() {
@@ -31,6 +33,7 @@
 
   public synchronized void op(String id, String kind, String router, long sent, long ended, String outcome,
       int tries) {
+    ops++;
     lines.add(String.join("\t", "op", id, kind, router, Long.toString(sent), Long.toString(ended), outcome,
         Integer.toString(tries)));
   }
@@ -44,12 +47,17 @@
     new TreeMap<>(counts).forEach((id, n) -> lines.add(String.join("\t", "ran", id, Integer.toString(n))));
   }
 
+  /** Adds how old the data was that the stand-ins answered bounded reads from, sorted by id. */
+  public synchronized void ages(Map<String, Long> millis) {
+    new TreeMap<>(millis).forEach((id, ms) -> lines.add(String.join("\t", "age", id, Long.toString(ms))));
+  }
+
   public synchronized List<String> lines() {
     return List.copyOf(lines);
   }
 
   /** How many requests have ended so far. */
   public synchronized long ops() {
-    return lines.stream().filter(l -> l.startsWith("op\t")).count();
+    return ops;
   }
 }
--- a/lab/src/main/java/stoatrill/lab/rig/Player.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Player.java
@@ -61,6 +61,7 @@
       }
       case DEAFEN -> rig.deafen(f.router(), f.node(), begins);
       case RESET -> rig.resetAnswers(f.node(), begins ? Integer.MAX_VALUE : 0);
+      case LAG -> rig.lag(f.node(), begins);
       case CUT -> rig.cut(f.node(), begins);
     }
   }
--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -17,6 +17,7 @@
  * rig's own JVM ends first, and a {@link Watchdog} kills them if that JVM is killed. Not safe for several threads, except {@link #doors}, which the clients call.
  */
 public final class Rig implements AutoCloseable {
+  private static final double STANDSTILL = 10_000; // times the usual: 20 s for one write of the log
   private static final long NOTICE = 200_000_000L;
 
   private final RunLine run;
@@ -137,6 +138,17 @@
     relays.get(node).resetAnswers(count);
   }
 
+  /** Node {@code node} applies the log so slowly that its data stands nearly still while {@code on}. */
+  public void lag(int node, boolean on) throws IOException {
+    history.fault(on ? "lag" : "caughtup", "node" + node);
+    deployment.lag(node, on ? STANDSTILL : 1);
+  }
+
+  /** How far behind the primary node {@code node} is now, in milliseconds. */
+  public long lagMillis(int node) throws IOException {
+    return deployment.views().get(node).lagMillis();
+  }
+
   /** The relay of node {@code node} resets and refuses every connection while {@code on}. */
   public void cut(int node, boolean on) {
     history.fault(on ? "cut" : "heal", "node" + node);
@@ -160,6 +172,7 @@
       clients = null;
     }
     history.ran(deployment.ran());
+    history.ages(deployment.ages());
     return history.lines();
   }
 
--- a/lab/src/main/java/stoatrill/lab/rig/Scenario.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Scenario.java
@@ -23,11 +23,11 @@
  * clients 6                      1 to 256
  * uploads 30%                    the share of requests that are uploads
  * length 6s                      how long faults go on; clients go on until the last is undone
- * fault pause {                  a fault: pause, kill, term, deafen, reset or cut
+ * fault pause {                  a fault: pause, kill, term, deafen, reset, lag or cut
  *   at 2s                        from the start of the schedule
  *   for 1s
  *   router 1                     for pause, kill, term and deafen
- *   node 0                       for deafen, reset and cut
+ *   node 0                       for deafen, reset, lag and cut
  * }
  * nemesis {                      faults drawn from the seed (see {@link Nemesis})
  *   kinds pause kill deafen
--- a/lab/src/test/java/stoatrill/lab/rig/CheckerTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/CheckerTest.java
@@ -37,6 +37,16 @@
     assertTrue(v.noFinalAnswer().isEmpty());
   }
 
+  @Test
+  void aReadFromDataOlderThanItsBoundIsNamedUnlessItsRouterWasPausedMeanwhile() {
+    Checker.Verdict v = Checker.check(List.of("op\tq1\tread\trouter0\t10\t20\tok", "op\tq2\tread\trouter0\t10\t20\tok",
+        "fault\t30\tpause\trouter0", "fault\t50\tresume\trouter0", "op\tq3\tread\trouter0\t25\t60\tok",
+        "op\tq4\tread\trouter0\t55\t70\tok", "op\tq5\tread\trouter1\t25\t60\trefused", "age\tq1\t2000",
+        "age\tq2\t290", "age\tq3\t2000", "age\tq4\t2000", "age\tq5\t2000"));
+    assertEquals(List.of("q1", "q4"), v.stale());
+    assertFalse(v.clean());
+  }
+
   @Test
   void theSameHistoryGivesTheSameVerdict() {
     List<String> lines = List.of("op\tq1\tread\trouter0\t10\t30\tnone", "ran\tq9\t3");
--- a/lab/src/test/java/stoatrill/lab/rig/PlantedBugTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/PlantedBugTest.java
@@ -24,6 +24,9 @@
 class PlantedBugTest {
   private static final String GUARD = "    if (first == NONE || r.kind.effect() == Effect.SAFE) {";
 
+  private static final String BOUND =
+      "    long need = r.kind.need() == Need.BOUNDED ? now - r.kind.bound() : r.need;";
+
   private static final String ANSWERED = "      if (p.slot == slot && p.answer == null) {";
 
   /**
@@ -103,6 +106,39 @@
     }
   }
 
+  @Test
+  void aReadWhoseBoundIsIgnoredIsCaughtAsStale(@TempDir Path dir) throws Exception {
+    RunLine planted = planted(dir, "stoatrill/Decide.java", BOUND,
+        "    long need = r.kind.need() == Need.BOUNDED ? now - 1_000 * r.kind.bound() : r.need;");
+    Checker.Verdict caught = lagging(planted, Files.createDirectories(dir.resolve("planted")));
+    assertFalse(caught.stale().isEmpty(), "the planted bug was not caught: " + caught);
+    Checker.Verdict kept = lagging(RunLine.find(Path.of("")), Files.createDirectories(dir.resolve("shipped")));
+    assertTrue(kept.ok() > 0, kept.toString());
+    assertEquals(List.of(), kept.stale(), "the shipped build answered stale reads: " + kept);
+  }
+
+  /** Reads and uploads by 2 routers, while every replica falls 2 s behind and stays there until 60 requests ended. */
+  private static Checker.Verdict lagging(RunLine run, Path dir) throws Exception {
+    try (Rig rig = new Rig(run, 2, 4, dir)) {
+      rig.clients(4, 0.3);
+      until(() -> rig.history().ops() >= 20);
+      for (int node = 1; node < 4; node++) {
+        rig.lag(node, true);
+      }
+      for (int node = 1; node < 4; node++) {
+        while (rig.lagMillis(node) < 2000) {
+          Thread.onSpinWait();
+        }
+      }
+      long before = rig.history().ops();
+      until(() -> rig.history().ops() >= before + 60);
+      for (int node = 1; node < 4; node++) {
+        rig.lag(node, false);
+      }
+      return Checker.check(rig.finish());
+    }
+  }
+
   private static void until(java.util.function.BooleanSupplier condition) {
     while (!condition.getAsBoolean()) {
       Thread.onSpinWait();
--- a/lab/src/test/java/stoatrill/lab/rig/RigTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/RigTest.java
@@ -59,6 +59,7 @@
     assertTrue(verdict.requests() >= 250 && verdict.ok() > 0, verdict.toString());
     assertEquals(List.of(), verdict.noFinalAnswer(), verdict.toString());
     assertEquals(List.of(), verdict.ranTwice(), verdict.toString());
+    assertEquals(List.of(), verdict.stale(), verdict.toString());
   }
 
   @Test
@@ -85,6 +86,7 @@
     assertTrue(withheld > 0 && failedUploads > 0, "the cut did nothing: " + withheld + " " + failedUploads);
     assertEquals(List.of(), verdict.noFinalAnswer(), verdict.toString());
     assertEquals(List.of(), verdict.ranTwice(), verdict.toString());
+    assertEquals(List.of(), verdict.stale(), verdict.toString());
   }
 
   /** Requests of a router that ended after a time (ns of the rig). */
@@ -110,5 +112,6 @@
     assertTrue(faults.size() >= 5, faults.toString());
     assertEquals(List.of(), verdict.noFinalAnswer(), verdict.toString());
     assertEquals(List.of(), verdict.ranTwice(), verdict.toString());
+    assertEquals(List.of(), verdict.stale(), verdict.toString());
   }
 }
--- a/standins/src/main/java/stoatrill/standins/net/Deployment.java
+++ b/standins/src/main/java/stoatrill/standins/net/Deployment.java
@@ -179,6 +179,11 @@
     return time.ask(records::ran);
   }
 
+  /** The recent reads that a node answered, by request id, with how old its data was when the read came, in ms. */
+  public Map<String, Long> ages() throws IOException {
+    return time.ask(records::ages);
+  }
+
   public Discovery discovery() {
     return discovery;
   }
--- a/standins/src/main/java/stoatrill/standins/net/PgNode.java
+++ b/standins/src/main/java/stoatrill/standins/net/PgNode.java
@@ -302,6 +302,8 @@
       long wait = comment.containsKey("d") && comment.get("d").matches("\\d{1,12}")
           ? Long.parseLong(comment.get("d")) * 1_000_000L : DEFAULT_WAIT;
       double takes = work.getOrDefault(comment.getOrDefault("c", ""), DEFAULT_WORK);
+      long age = Math.max(0, (time.now() - node.position()) / 1_000_000L);
+      boolean bounded = "recent-read".equals(comment.get("c"));
       busy = true;
       node.submit(write, takes, time.now() + wait, (outcome, note) -> {
         if (ended) {
@@ -309,6 +311,9 @@
         }
         busy = false;
         try {
+          if (outcome == Node.Outcome.OK && bounded && comment.containsKey("id")) {
+            records.read(comment.get("id"), age);
+          }
           answer(outcome, note, write, key, write ? value(literals.get(1)) : null, comment.get("id"));
           if (!parsing) { // else the reply came at once, and the loop that asked goes on
             parse();
--- a/standins/src/main/java/stoatrill/standins/net/Records.java
+++ b/standins/src/main/java/stoatrill/standins/net/Records.java
@@ -15,6 +15,7 @@
 
   private final Map<String, List<Version>> byKey = new HashMap<>();
   private final Map<String, Integer> ran = new HashMap<>();
+  private final Map<String, Long> ages = new HashMap<>();
 
   /** Counts one write that ran under the client's request id, so that one that ran twice can be found. */
   void ran(String id) {
@@ -26,6 +27,16 @@
     return Map.copyOf(ran);
   }
 
+  /** Notes how old the data was, in milliseconds, that a node held when this read reached it; the oldest counts. */
+  void read(String id, long age) {
+    ages.merge(id, age, Math::max);
+  }
+
+  /** The bounded reads that were answered, by request id, with the age of the data in milliseconds. */
+  Map<String, Long> ages() {
+    return Map.copyOf(ages);
+  }
+
   void put(String key, long commit, byte[] value) {
     if (byKey.size() >= KEYS && !byKey.containsKey(key)) {
       byKey.clear(); // a stand-in that runs for days must not fill its memory
