Let a time-out end the rig's tests that wait for what never comes

Seen: a test of the rig that waited for requests at a router that no client went to ran on for 20 minutes, past its time-out of 120 s.

Change: one Wait.until for both, which looks at the condition once a millisecond and ends when interrupted.

--- a/lab/src/test/java/stoatrill/lab/rig/PlantedBugTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/PlantedBugTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static stoatrill.lab.rig.Wait.until;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -126,9 +127,8 @@
         rig.lag(node, true);
       }
       for (int node = 1; node < 4; node++) {
-        while (rig.lagMillis(node) < 2000) {
-          Thread.onSpinWait();
-        }
+        int behind = node;
+        until(() -> rig.lagMillis(behind) >= 2000);
       }
       long before = rig.history().ops();
       until(() -> rig.history().ops() >= before + 60);
@@ -138,10 +138,4 @@
       return Checker.check(rig.finish());
     }
   }
-
-  private static void until(java.util.function.BooleanSupplier condition) {
-    while (!condition.getAsBoolean()) {
-      Thread.onSpinWait();
-    }
-  }
 }
--- a/lab/src/test/java/stoatrill/lab/rig/RigTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/RigTest.java
@@ -3,11 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static stoatrill.lab.rig.Wait.until;
 
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -16,13 +16,6 @@
 @Timeout(240)
 class RigTest {
 
-  /** Waits on a condition; the test's time-out ends one that never holds. */
-  private static void until(BooleanSupplier condition) {
-    while (!condition.getAsBoolean()) {
-      Thread.onSpinWait();
-    }
-  }
-
   @Test
   void resetsInTheMiddleOfUploadsAPauseAndAKillLoseNothingAndRunNothingTwice(@TempDir Path dir) throws Exception {
     List<ProcessHandle> started = new ArrayList<>();
