Fold the tests of the fleet's bounds and of planted bugs into one shape each

The four bounds are now one test over 1, 3, 14 and 100 routers, with the planted lack of each beside it as before; the three planted bugs share one method that plays the planted and the shipped build, and now all ask that the shipped one served something.

--- a/lab/src/test/java/stoatrill/lab/rig/PlantedBugTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/PlantedBugTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.function.Function;
 import javax.tools.JavaCompiler;
 import javax.tools.ToolProvider;
 import org.junit.jupiter.api.Test;
@@ -54,15 +55,27 @@
         shipped.command().replace(jar, "-cp " + classes + ":router/target/stoatrill.jar stoatrill.Main"));
   }
 
+  private interface Played {
+    Checker.Verdict play(RunLine run, Path dir) throws Exception;
+  }
+
+  /** Plays a planted build, which must break a rule, and the shipped one, which must keep it; returns the latter's verdict. */
+  private static Checker.Verdict caught(Path dir, RunLine planted, Played scenario,
+      Function<Checker.Verdict, List<String>> broken) throws Exception {
+    Checker.Verdict caught = scenario.play(planted, Files.createDirectories(dir.resolve("planted")));
+    assertFalse(broken.apply(caught).isEmpty(), "the planted bug was not caught: " + caught);
+    Checker.Verdict kept = scenario.play(RunLine.find(Path.of("")), Files.createDirectories(dir.resolve("shipped")));
+    assertTrue(kept.ok() > 0, "nothing was served, so the scenario shows nothing: " + kept);
+    assertEquals(List.of(), broken.apply(kept), "the shipped build broke the rule: " + kept);
+    return kept;
+  }
+
   @Test
   void aRefusalLeftUnansweredIsCaughtAsNoFinalAnswer(@TempDir Path dir) throws Exception {
     RunLine planted = planted(dir, "stoatrill/pg/PgClient.java", ANSWERED,
         "      if (p.slot == slot && p.answer == null && !(answer instanceof Answer.Refused)) {");
-    Checker.Verdict caught = cutOff(planted, Files.createDirectories(dir.resolve("planted")));
-    assertFalse(caught.noFinalAnswer().isEmpty(), "the planted bug was not caught: " + caught);
-    Checker.Verdict kept = cutOff(RunLine.find(Path.of("")), Files.createDirectories(dir.resolve("shipped")));
+    Checker.Verdict kept = caught(dir, planted, PlantedBugTest::cutOff, Checker.Verdict::noFinalAnswer);
     assertTrue(kept.refused() > 0, "nothing was refused, so the scenario shows nothing: " + kept);
-    assertEquals(List.of(), kept.noFinalAnswer(), "the shipped build left requests unanswered: " + kept);
   }
 
   /** Reads alone, by 2 routers, while every node is cut off until 8 requests ended. */
@@ -86,12 +99,8 @@
 
   @Test
   void anUploadSentAgainAfterAResetIsCaughtAsRanTwice(@TempDir Path dir) throws Exception {
-    RunLine shipped = RunLine.find(Path.of(""));
     RunLine planted = planted(dir, "stoatrill/Decide.java", GUARD, "    if (first == NONE || first != NONE) {");
-    Checker.Verdict caught = play(planted, Files.createDirectories(dir.resolve("planted")));
-    assertFalse(caught.ranTwice().isEmpty(), "the planted bug was not caught: " + caught);
-    Checker.Verdict kept = play(shipped, Files.createDirectories(dir.resolve("shipped")));
-    assertEquals(List.of(), kept.ranTwice(), "the shipped build ran uploads twice: " + kept);
+    caught(dir, planted, PlantedBugTest::play, Checker.Verdict::ranTwice);
   }
 
   /** Uploads alone, by 2 routers, while 20 answers of the primary are reset after their statement reached it. */
@@ -111,11 +120,7 @@
   void aReadWhoseBoundIsIgnoredIsCaughtAsStale(@TempDir Path dir) throws Exception {
     RunLine planted = planted(dir, "stoatrill/Decide.java", BOUND,
         "    long need = r.kind.need() == Need.BOUNDED ? now - 1_000 * r.kind.bound() : r.need;");
-    Checker.Verdict caught = lagging(planted, Files.createDirectories(dir.resolve("planted")));
-    assertFalse(caught.stale().isEmpty(), "the planted bug was not caught: " + caught);
-    Checker.Verdict kept = lagging(RunLine.find(Path.of("")), Files.createDirectories(dir.resolve("shipped")));
-    assertTrue(kept.ok() > 0, kept.toString());
-    assertEquals(List.of(), kept.stale(), "the shipped build answered stale reads: " + kept);
+    caught(dir, planted, PlantedBugTest::lagging, Checker.Verdict::stale);
   }
 
   /** Reads and uploads by 2 routers, while every replica falls 2 s behind and stays there until 60 requests ended. */
--- a/lab/src/test/java/stoatrill/lab/world/FleetBoundsTest.java
+++ b/lab/src/test/java/stoatrill/lab/world/FleetBoundsTest.java
@@ -19,8 +19,8 @@
 import stoatrill.lab.policy.Policy;
 
 /**
- * What any number of modules, each alone, add up to on one fake clock: at a node, at a cold node, at the list. The
- * last test of each kind plants the lack of what bounds it, and must see the bound broken.
+ * What any number of modules, each alone, add up to on one fake clock: at a node, at a cold node, at the list. The other
+ * tests each plant the lack of what bounds one of them, and must see that bound broken.
  */
 class FleetBoundsTest {
   private static final String DAY = "day 20s\nmodel {\n groups 3\n nodes 18\n cores 4\n load 45%\n speed-spread 5%\n";
@@ -35,21 +35,27 @@
     return world;
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {1, 3, 14, 100})
+  void whatAllRoutersAddUpToStaysBounded(int routers) throws Exception {
+    World asked = play(routers, "", trouble("slow-apply", "at 4s; for 6s; part 70%; size 15")
+        + trouble("router-restart", "at 6s; for 1s; part 70%; size 100%; extra 500ms"), null);
+    assertTrue(asked.tally().probes > 0, "nothing was probed: the test shows nothing");
+    assertTrue(probesBounded(asked), asked.mostProbes() + " in a second at a node, " + asked.tally().probing());
+    int calls = play(routers, OVERBOOKED, HERD, null).mostListCalls();
+    assertTrue(calls <= 2 * routers + 1, calls + " calls in a second");
+    double pressed = play(routers, FRAIL, REPLACED, null).mostPressed();
+    assertTrue(pressed > 0 && pressed < 0.8, pressed + " of what tips a cold node over (0: none was used)");
+    int connections = play(routers, " sockets 96\n", JUMP, null).mostConnections();
+    assertTrue(connections <= connectionsBound(routers), connections + " at once at a node");
+  }
+
   // Probes: a router asks a node every 250 ms at most, and only where a request needs it.
 
   private static boolean probesBounded(World w) {
     return w.mostProbes() <= 5 * w.routers.size() && w.tally().probing() < 1.5;
   }
 
-  @ParameterizedTest
-  @ValueSource(ints = {1, 3, 14, 100})
-  void probesAtANode(int routers) throws Exception {
-    World w = play(routers, "", trouble("slow-apply", "at 4s; for 6s; part 70%; size 15")
-        + trouble("router-restart", "at 6s; for 1s; part 70%; size 100%; extra 500ms"), null);
-    assertTrue(w.tally().probes > 0, "nothing was probed: the test shows nothing");
-    assertTrue(probesBounded(w), w.mostProbes() + " in a second at a node, " + w.tally().probing() + " a request");
-  }
-
   @Test
   void probesOfEveryMemberAtEveryLookAreSeen() throws Exception {
     for (int routers : new int[] {1, 100}) {
@@ -77,13 +83,6 @@
   private static final String OVERBOOKED = " list-call 20ms\n list-patience 100ms\n";
   private static final String HERD = trouble("router-restart", "at 5s; for 1s; part 70%; size 100%; extra 500ms");
 
-  @ParameterizedTest
-  @ValueSource(ints = {1, 3, 14, 100})
-  void callsOfTheList(int routers) throws Exception {
-    World w = play(routers, OVERBOOKED, HERD, null);
-    assertTrue(w.mostListCalls() <= 2 * routers + 1, w.mostListCalls() + " calls in a second");
-  }
-
   @Test
   void callsRepeatedAtOnceAreSeen() throws Exception {
     World w = play(100, OVERBOOKED, HERD, (out, sight) -> around(new Decide(out, sight.settings(), sight.seed()),
@@ -102,14 +101,6 @@
   private static final String FRAIL = " cold-from 5%\n warm-after 18s\n tip-multiple 1.5\n";
   private static final String REPLACED = trouble("node-replace", "at 4s; for 7s; part 60%; extra 3s");
 
-  @ParameterizedTest
-  @ValueSource(ints = {1, 3, 14, 100})
-  void workSentToAColdNode(int routers) throws Exception {
-    World w = play(routers, FRAIL, REPLACED, null);
-    assertTrue(w.mostPressed() > 0, "no cold node was used: the test shows nothing");
-    assertTrue(w.mostPressed() < 0.8, w.mostPressed() + " of what tips one over");
-  }
-
   @Test
   void aModuleThatTakesColdNodesForWarmIsSeen() throws Exception {
     for (int routers : new int[] {3, 100}) {
@@ -134,13 +125,6 @@
     return 16 + 3 * routers * 16 / 18.0;
   }
 
-  @ParameterizedTest
-  @ValueSource(ints = {1, 3, 14, 100})
-  void connectionsAtANode(int routers) throws Exception {
-    World w = play(routers, " sockets 96\n", JUMP, null);
-    assertTrue(w.mostConnections() <= connectionsBound(routers), w.mostConnections() + " at once at a node");
-  }
-
   @Test
   void connectionsWithoutABudgetAreSeen() throws Exception {
     for (int routers : new int[] {3, 14}) {
