Follow pushed lists on sockets: ask the agent before serving, then watch it

Lines at fault: Decide.members and Decide.listMoved ask to follow only where `settings.asked()`, as the simulator's wire wants it, and on sockets nobody else did, so a router with pushed lists held the list of its start for ever.

Now the event loop watches the agent itself where lists are pushed. What the agent has counts as told from a process's first moment, so the first call is answered at once (hold_ms=0), and the router says that it serves once it has that answer, or after 0.5 s from an agent that is silent. A failed call to the agent, which answers at once and at no cost, is made again after an eighth to three eighths of the drain grace (250 ms there), where the wait of an asked list, 250 to 750 ms and doubling, outlasts it.

Ruled out: sends after the router knew (none: no list ever came).

--- a/router/src/main/java/stoatrill/Decide.java
+++ b/router/src/main/java/stoatrill/Decide.java
@@ -819,7 +819,9 @@
       }
     }
     if (kind == ListKind.FAILED) {
-      long wait = LIST_RETRY << Math.min(listFailures++, 4);
+      // A pushed list comes from an agent that answers at once and at no cost, and what it has binds at once.
+      long wait = settings.asked() ? LIST_RETRY << Math.min(listFailures++, 4)
+          : Math.min(LIST_RETRY, rules.drainGrace() / 4);
       out.timer((long) (wait * (0.5 + random.nextDouble())), LIST_TOKEN);
       return;
     }
--- a/router/src/main/java/stoatrill/discovery/DiscoveryClient.java
+++ b/router/src/main/java/stoatrill/discovery/DiscoveryClient.java
@@ -33,7 +33,8 @@
     void members(long now, ListKind kind, List<ServerEntry> entries);
   }
 
-  private enum Call { NONE, WATCH, FETCH }
+  /** CHECK asks for changes as a watch does, and is answered at once. */
+  private enum Call { NONE, WATCH, CHECK, FETCH }
 
   private final Peer peer;
   private final Deadlines deadlines;
@@ -41,6 +42,7 @@
   private long version;
   private boolean following;
   private boolean wantsAll;
+  private boolean unsure;
   private Call call = Call.NONE;
   private boolean up;
   private boolean opening;
@@ -49,12 +51,19 @@
   private Deadline patience;
   private ResponseParser parser = new ResponseParser();
 
-  /** {@code version}: of the list already held; negative if none is. */
-  public DiscoveryClient(Peer peer, Deadlines deadlines, String host, long version) {
+  /**
+   * A client that makes no call before {@link #follow} or {@link #fetch}.
+   *
+   * @param version of the list already held; negative if none is
+   * @param pushed whether lists are pushed: what the agent has counts as told from the start, so it is asked what
+   *     that is before it is watched
+   */
+  public DiscoveryClient(Peer peer, Deadlines deadlines, String host, long version, boolean pushed) {
     this.peer = peer;
     this.deadlines = deadlines;
     this.host = host;
     this.version = version;
+    this.unsure = pushed;
   }
 
   /** Follows the list from now on, or stops. */
@@ -84,11 +93,11 @@
       return;
     }
     boolean all = wantsAll || version < 0;
-    call = all ? Call.FETCH : Call.WATCH;
+    call = all ? Call.FETCH : unsure ? Call.CHECK : Call.WATCH;
     wantsAll = false;
     // Guards against a discovery that is cut off: its connection stays open and silent.
-    patience = deadlines.at(now + PATIENCE + (all ? 0 : HOLD_MILLIS * 1_000_000), () ->
-        fail(now + PATIENCE + (all ? 0 : HOLD_MILLIS * 1_000_000)));
+    long until = now + PATIENCE + (call == Call.WATCH ? HOLD_MILLIS * 1_000_000 : 0);
+    patience = deadlines.at(until, () -> fail(until));
     start();
   }
 
@@ -105,7 +114,8 @@
   }
 
   private void send() {
-    String query = call == Call.WATCH ? "?from=" + version + "&hold_ms=" + HOLD_MILLIS : "";
+    long hold = call == Call.WATCH ? HOLD_MILLIS : 0;
+    String query = call == Call.FETCH ? "" : "?from=" + version + "&hold_ms=" + hold;
     peer.send(("GET /v1/servers" + query + " HTTP/1.1\r\nHost: " + host
         + "\r\nAccept: application/json\r\n\r\n")
         .getBytes(StandardCharsets.US_ASCII));
@@ -166,6 +176,7 @@
     try {
       ServerList list = ServerList.parse(new String(response.body(), StandardCharsets.UTF_8));
       finish();
+      unsure = false;
       version = list.version();
       // The next call goes out first: a watch ends if it is not renewed within 200 ms.
       next(now);
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -75,6 +75,8 @@
   private static final long ACCEPT_PAUSE = 100 * MILLI;
   private static final long COMPARE_CLOCKS = 1_000 * MILLI;
   private static final long COUNTS_EVERY = 1_000 * MILLI;
+  /** How long a router whose lists are pushed waits for its agent, which answers at once, before it serves. */
+  private static final long FIRST_LIST = 500 * MILLI;
 
   private final Config config;
   private InetSocketAddress filed;
@@ -128,15 +130,23 @@
     ServerList known = known(config.known());
     this.filed = config.filed();
     this.discoveryAt = config.discovery();
-    this.discovery = new DiscoveryClient(this, deadlines, host(discoveryAt), known.version());
+    this.discovery = new DiscoveryClient(this, deadlines, host(discoveryAt), known.version(),
+        !config.settings().asked());
     this.selector = Selector.open();
     this.listener = ServerSocketChannel.open();
     listener.configureBlocking(false);
     listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
     listener.bind(config.listen(), BACKLOG);
     this.accepts = listener.register(selector, SelectionKey.OP_ACCEPT);
-    ready = !known.entries().isEmpty();
     reducer.members(now(), Gateway.ListKind.CACHED, known.entries());
+    if (config.settings().asked()) {
+      ready = !known.entries().isEmpty();
+    } else {
+      // The module asks for no list where lists are pushed; on sockets they come by a watch on the agent.
+      watch(true);
+      // Guards the servers that have left since: what the agent has counts as told from the first moment.
+      deadlines.at(now() + FIRST_LIST, () -> ready(!known.entries().isEmpty()));
+    }
     shareDescriptors();
     compareClocks();
     lookAtClients();
@@ -719,7 +729,12 @@
   public void members(long now, Gateway.ListKind kind, List<ServerEntry> entries) {
     count("list", kind.name());
     reducer.members(now, kind, entries);
-    if (!ready && kind != Gateway.ListKind.FAILED) {
+    ready(kind != Gateway.ListKind.FAILED);
+  }
+
+  /** Says to who asked that the router serves from now on, if it has a list. */
+  private void ready(boolean listed) {
+    if (!ready && listed) {
       ready = true;
       List.copyOf(clients.values()).forEach(c -> c.protocol.ready());
     }
--- a/router/src/test/java/stoatrill/DecideTest.java
+++ b/router/src/test/java/stoatrill/DecideTest.java
@@ -769,6 +769,16 @@
     assertTrue(gateway.did("follow true"), "the first wait again");
   }
 
+  @Test
+  void whereListsArePushedAFailedCallIsMadeAgainWellWithinTheGraceHoweverOftenItFails() {
+    for (int i = 0; i < 9; i++) {
+      gateway.actions.clear();
+      gateway.module.members(gateway.now, Gateway.ListKind.FAILED, List.of());
+      gateway.pass(250); // half of the grace
+      assertTrue(gateway.did("follow true"), "after " + (i + 1) + " failures");
+    }
+  }
+
   @Test
   void aFailedListIsAskedForAgain() {
     gateway.module.members(gateway.now, Gateway.ListKind.FAILED, List.of());
--- a/router/src/test/java/stoatrill/ServeScenarioTest.java
+++ b/router/src/test/java/stoatrill/ServeScenarioTest.java
@@ -54,7 +54,12 @@
   private int port;
 
   private void play(String steps) throws Exception {
-    String text = Scenario.config();
+    play("", "", steps);
+  }
+
+  /** Plays with one text of the configuration replaced by another. */
+  private void play(String was, String is, String steps) throws Exception {
+    String text = Scenario.config().replace(was, is);
     for (String server : List.of("r1", "r2", "p")) {
       text = text.replaceFirst("127.0.0.1:9\", \"az\"",
           "127.0.0.1:" + listen(s -> serve(server, s)) + "\", \"az\"");
@@ -278,6 +283,23 @@
         """);
   }
 
+  @Test
+  void pushedListsAreAskedForBeforeTheRouterServesAndWatchedFromThenOn() throws Exception {
+    play("on_request", "pushed", """
+        c send startup
+        list expect GET /v1/servers?from=5&hold_ms=0
+        list send {"rev":6,"all":false,"targets":[{"uid":"r1","endpoint":"127.0.0.1:9","az":"north","pod_group":0,"state":"Terminating"}]}
+        list expect GET /v1/servers?from=6&hold_ms=20000
+        c expect ready
+        c send read 1
+        r2 expect read 1
+        r2 send row x
+        c expect row x
+        list close
+        list expect GET /v1/servers?from=6&hold_ms=20000
+        """);
+  }
+
   @Test
   void atSigtermWhatWasTakenIsAnsweredBeforeTheProcessEnds() throws Exception {
     play(CONNECTED + """
--- a/router/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
+++ b/router/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
@@ -27,7 +27,7 @@
   private long now = 1_000 * MS;
 
   private void play(long version, String steps) throws Exception {
-    client = new DiscoveryClient(this, deadlines, "h", version);
+    client = new DiscoveryClient(this, deadlines, "h", version, false);
     Scenario.play(this, steps);
   }
 
