Notice a silent watch half a second after its wait and ask anew at once

Every write to a leaving server was before its router knew: 0 of all writes after. So the cause is the time to notice, in DiscoveryClient.next (the patience) and Decide.members (the wait after FAILED), and six watches that end together before a discovery that takes calls in turn.

Now a watch is taken for broken 0.5 s after its wait (the grace, if that is shorter), and the client itself opens it anew at once.

--- a/lab/src/main/java/stoatrill/lab/policy/PlainPolicy.java
+++ b/lab/src/main/java/stoatrill/lab/policy/PlainPolicy.java
@@ -128,6 +128,9 @@
       started = true;
       out.follow(true);
     }
+    if (kind == ListKind.SILENT) {
+      return;
+    }
     if (kind == ListKind.FAILED) {
       out.timer(RETRY_LIST, LIST);
       return;
--- a/router/src/main/java/stoatrill/Decide.java
+++ b/router/src/main/java/stoatrill/Decide.java
@@ -818,6 +818,9 @@
         out.follow(true);
       }
     }
+    if (kind == ListKind.SILENT) {
+      return;
+    }
     if (kind == ListKind.FAILED) {
       // A pushed list comes from an agent that answers at once and at no cost, and what it has binds at once.
       long wait = settings.asked() ? LIST_RETRY << Math.min(listFailures++, 4)
--- a/router/src/main/java/stoatrill/Gateway.java
+++ b/router/src/main/java/stoatrill/Gateway.java
@@ -150,8 +150,12 @@
   /** What is said of a server's place in its group. */
   enum Role { UNKNOWN, PRIMARY, REPLICA }
 
-  /** What kind of list {@link Events#members} brings. */
-  enum ListKind { DELTA, FULL, CACHED, FAILED }
+  /**
+   * What kind of list {@link Events#members} brings. The last two bring none. FAILED: the call failed, and nothing
+   * is followed until asked for anew; SILENT: a watch fell silent and the gateway opens it anew by itself. What
+   * comes next may have counted as told before.
+   */
+  enum ListKind { DELTA, FULL, CACHED, FAILED, SILENT }
 
   /** What the list says of a server. */
   enum State { READY, DRAINING, GONE }
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -131,7 +131,7 @@
     this.filed = config.filed();
     this.discoveryAt = config.discovery();
     this.discovery = new DiscoveryClient(this, deadlines, host(discoveryAt), known.version(),
-        !config.settings().asked());
+        DiscoveryClient.Timing.of(config.settings(), config.seed()));
     this.selector = Selector.open();
     this.listener = ServerSocketChannel.open();
     listener.configureBlocking(false);
@@ -673,7 +673,7 @@
 
     @Override
     void connected() {
-      discovery.connected();
+      discovery.connected(now());
     }
 
     @Override
@@ -729,7 +729,7 @@
   public void members(long now, Gateway.ListKind kind, List<ServerEntry> entries) {
     count("list", kind.name());
     reducer.members(now, kind, entries);
-    ready(kind != Gateway.ListKind.FAILED);
+    ready(kind != Gateway.ListKind.FAILED && kind != Gateway.ListKind.SILENT);
   }
 
   /** Says to who asked that the router serves from now on, if it has a list. */
