Refuse what is read in the turn in which the router ends

With a line for each read while stopping (n4, all routers searched for the id):

Client 30 had a read at a server that hung. At the end of the time to stop, wind()'s deadline failed it (Reducer.failAll) and set `stopped`, but the turn that followed still read: the client came again at once, its request was taken, sent on, and the process ended. The lines at fault: EventLoop.run, which leaves only after the turn, and Reducer.request, which went on taking.

Now what comes after failAll is refused at once, as never sent, and commands that were read and waited for their turn are run through before the exit, so that all that was read has its answer. What is still unread is the client's to send again, as the protocol says.

Ruled out: connections that were half-closed (28 clients of n4 left between 29.2 and 30.66, none with a request that was read after the half-close), the kill (the process ended by itself).

--- a/router/src/main/java/stoatrill/core/Reducer.java
+++ b/router/src/main/java/stoatrill/core/Reducer.java
@@ -61,6 +61,7 @@
   private long requestIds = 1;
   private int unanswered;
   private boolean inModule;
+  private boolean ending;
   private ContractGate gate;
 
   /** A reducer that has not been told of any server yet: {@link #members} comes first. */
@@ -123,7 +124,7 @@
       effects.answer(client, slot, new Answer.Invalid(wrong));
       return;
     }
-    if (unanswered >= setup.mostHeld()) {
+    if (ending || unanswered >= setup.mostHeld()) {
       effects.answer(client, slot, new Answer.Refused(0));
       return;
     }
@@ -182,9 +183,10 @@
     }
   }
 
-  /** The router is about to end: fails all that is still owed an answer. */
+  /** The router is about to end: fails all that is still owed an answer; what is still to come is refused. */
   public void failAll(long at) {
     now = at;
+    ending = true;
     for (Request r : List.copyOf(requests.values())) {
       if (!r.over) {
         finish(r, new Answer.Failed("the router is ending"));
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -211,6 +211,10 @@
       }
       turn();
     }
+    // Guards what was read but waited for its turn: it counts as taken, so it is answered before the end.
+    while (!later.isEmpty()) {
+      later.poll().run();
+    }
     LOG.info("stopped; invariants broken: {}", reducer.brokenInvariants());
     listener.close();
     selector.close();
--- a/router/src/test/java/stoatrill/core/ReducerScenarioTest.java
+++ b/router/src/test/java/stoatrill/core/ReducerScenarioTest.java
@@ -106,6 +106,21 @@
         """);
   }
 
+  @Test
+  void whatComesInTheTurnInWhichTheRouterEndsIsRefusedAtOnceAndSentNowhere() throws Exception {
+    play(READ_AT_R1 + """
+        r1 send taken
+        router send the end
+        c expect a failed
+        c send archive b 500
+        c expect b refused
+        c send upload u 500
+        c expect u refused
+        r1 expect nothing
+        p expect nothing
+        """);
+  }
+
   @Test
   void anUploadThatNeverLeftGoesAgain() throws Exception {
     play(UPLOAD_AT_P + """
@@ -389,6 +404,10 @@
           wait -> (words[1] + " " + wait).getBytes(StandardCharsets.UTF_8)));
       return;
     }
+    if (actor.equals("router")) {
+      reducer.failAll(now);
+      return;
+    }
     long connection = connectionOf.get(actor);
     if (words[0].equals("first")) { // the first that was opened, not the newest
       connectionOf.put(actor, serverOf.keySet().stream().filter(c -> serverOf.get(c).equals(actor)).sorted()
