--- a/lab/src/main/java/stoatrill/lab/rig/Checker.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Checker.java
@@ -14,7 +14,10 @@
  *   <li><b>ran twice</b>: an upload that ran more than once at the stand-ins;
  *   <li><b>stale</b>: a bounded read answered from data older than {@value #STALE_MILLIS} ms when it came to the
  *       node, at a router that was not paused while it was under way (what is paused between deciding and writing
- *       writes late, and no router can help that).
+ *       writes late, and no router can help that);
+ *   <li><b>to leaving</b>: a request that a router sent to a node later than the grace of 2 s and
+ *       {@value #LATE_MILLIS} ms after it counts as told that the node drains: at once on an open watch; for a watch
+ *       that had fallen silent 6 s after that, or 2 s after its wait, whichever is later.
  * </ul>
  *
  * It counts besides the requests that a close crossed and that the client sent once more.
@@ -22,14 +25,17 @@
 public final class Checker {
   /** The bound of 300 ms that clients' reads have, and 500 ms for a relay and a node that a busy machine holds up. */
   static final long STALE_MILLIS = 800;
+  private static final long SECOND = 1_000_000_000L;
+  /** What a busy machine may hold up discovery's answer, the router's write and the relay. */
+  static final long LATE_MILLIS = 750;
 
   private Checker() {}
 
   /** The verdict: counts, and the ids of the requests that break each rule. */
   public record Verdict(long requests, long ok, long refused, long errors, long excused, long repeated,
-      List<String> noFinalAnswer, List<String> ranTwice, List<String> stale) {
+      List<String> noFinalAnswer, List<String> ranTwice, List<String> stale, List<String> toLeaving) {
     public boolean clean() {
-      return noFinalAnswer.isEmpty() && ranTwice.isEmpty() && stale.isEmpty();
+      return noFinalAnswer.isEmpty() && ranTwice.isEmpty() && stale.isEmpty() && toLeaving.isEmpty();
     }
   }
 
@@ -96,7 +102,35 @@
       }
     }
     return new Verdict(requests, ok, refused, errors, excused, repeated, List.copyOf(none), List.copyOf(twice),
-        List.copyOf(stale));
+        List.copyOf(stale), toLeaving(lines));
+  }
+
+  /** What was sent to leaving nodes too late, as {@code ROUTER NODE MILLIS-AFTER-THE-GRACE}. */
+  private static List<String> toLeaving(List<String> lines) {
+    Map<String, Long> leaves = new HashMap<>();
+    Map<String, long[]> silent = new HashMap<>();
+    for (String line : lines) {
+      String[] f = line.split("\t");
+      if (f[0].equals("leaves")) {
+        leaves.putIfAbsent(f[2], Long.parseLong(f[1]));
+      } else if (f[0].equals("silent")) {
+        silent.put(f[2], new long[] {Long.parseLong(f[1]), Long.parseLong(f[3])});
+      }
+    }
+    List<String> late = new ArrayList<>();
+    for (String line : lines) {
+      String[] f = line.split("\t");
+      if (f[0].equals("sent") && leaves.containsKey(f[2])) {
+        long shown = leaves.get(f[2]);
+        long[] s = silent.get(f[3]);
+        long told = s == null || s[0] > shown ? shown : Math.max(s[0] + 6 * SECOND, s[1] + 2 * SECOND);
+        long over = (Long.parseLong(f[1]) - told - 2 * SECOND) / 1_000_000L;
+        if (over > LATE_MILLIS) {
+          late.add(f[3] + " " + f[2] + " " + over);
+        }
+      }
+    }
+    return List.copyOf(late);
   }
 
   private static boolean pausedUnder(String[] op, Map<String, List<long[]>> pauses) {
--- a/lab/src/main/java/stoatrill/lab/rig/History.java
+++ b/lab/src/main/java/stoatrill/lab/rig/History.java
@@ -14,6 +14,9 @@
  *                                                  a close crossed it and it was sent once more
  * fault  AT  WHAT  TARGET                          a fault the rig applied: kill, pause, resume, term, reset, …
  * ran    ID  COUNT                                 how often an upload with this id ran at the stand-ins
+ * sent   AT  NODE  ROUTER                          a request that a router sent to a node, as it passed the relay
+ * leaves AT  NODE                                  discovery shows from then on that the node drains
+ * silent AT  ROUTER  UNTIL                         the router's watch fell silent; its wait would have ended then
  * age    ID  MILLIS                                how old a node's data was when this bounded read came to it
  * </pre>
  *
@@ -42,6 +45,26 @@
     lines.add(String.join("\t", "fault", Long.toString(now()), what, target));
   }
 
+  /** A router's request has passed the relay of a node. */
+  public synchronized void sent(String node, String router) {
+    lines.add(String.join("\t", "sent", Long.toString(now()), node, router));
+  }
+
+  /** Discovery shows from now on that a node drains. */
+  public synchronized void leaves(String node) {
+    lines.add(String.join("\t", "leaves", Long.toString(now()), node));
+  }
+
+  /** A router's watch has fallen silent; its wait would have ended at {@code until}, ns of the rig. */
+  public synchronized void silent(String router, long until) {
+    lines.add(String.join("\t", "silent", Long.toString(now()), router, Long.toString(until)));
+  }
+
+  /** A time of {@link System#nanoTime} as one of the rig. */
+  public long at(long nanoTime) {
+    return nanoTime - start;
+  }
+
   /** Adds what the stand-ins counted, sorted by id so that the same counts give the same lines. */
   public synchronized void ran(Map<String, Integer> counts) {
     new TreeMap<>(counts).forEach((id, n) -> lines.add(String.join("\t", "ran", id, Integer.toString(n))));
--- a/lab/src/main/java/stoatrill/lab/rig/Relay.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Relay.java
@@ -7,10 +7,12 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.IntFunction;
 
 /**
@@ -36,6 +38,7 @@
   private final InetSocketAddress target;
   private final ServerSocket listener;
   private final IntFunction<String> peers;
+  private final Consumer<String> statements;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
   private final Set<String> deaf = ConcurrentHashMap.newKeySet();
   private final AtomicInteger resetAnswers = new AtomicInteger();
@@ -46,14 +49,19 @@
 
   /** Starts to listen on a port that the system chooses; peers are not named. */
   public Relay(String name, InetSocketAddress target) throws IOException {
-    this(name, target, port -> "");
+    this(name, target, port -> "", peer -> { });
   }
 
-  /** As {@link #Relay(String, InetSocketAddress)}; {@code peers} names a peer by the port it connects from. */
-  public Relay(String name, InetSocketAddress target, IntFunction<String> peers) throws IOException {
+  /**
+   * As {@link #Relay(String, InetSocketAddress)}; {@code peers} names a peer by the port it connects from, and
+   * {@code statements} hears, on one of the relay's threads, of each request that a peer sends to the target.
+   */
+  public Relay(String name, InetSocketAddress target, IntFunction<String> peers, Consumer<String> statements)
+      throws IOException {
     this.name = name;
     this.target = target;
     this.peers = peers;
+    this.statements = statements;
     this.listener = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
     Thread accept = new Thread(this::accept, "relay-" + name);
     accept.setDaemon(true);
@@ -158,6 +166,9 @@
               asked[0] = false;
             }
           } else {
+            if (new String(chunk, 0, n, StandardCharsets.ISO_8859_1).contains("/* id=")) {
+              statements.accept(peer);
+            }
             synchronized (asked) {
               asked[0] = true;
             }
--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import stoatrill.standins.net.Deployment;
 
 /**
@@ -44,7 +45,8 @@
     List<IOException> failed = new ArrayList<>();
     deployment = new Deployment(nodes, NOTICE, at -> {
       try {
-        Relay relay = new Relay("node" + relays.size(), at, this::who);
+        String node = "node" + relays.size();
+        Relay relay = new Relay(node, at, this::who, router -> history.sent(node, router));
         relays.add(relay);
         return relay.address();
       } catch (IOException e) {
@@ -144,6 +146,24 @@
     deployment.lag(node, on ? STANDSTILL : 1);
   }
 
+  /** All open watches fall silent; later calls to discovery are answered. Returns the last end of their waits, ns of the rig. */
+  public long silence() {
+    long last = 0;
+    for (Map.Entry<Integer, Long> watch : deployment.discovery().silence().entrySet()) {
+      long until = history.at(watch.getValue());
+      history.silent(who(watch.getKey()), until);
+      last = Math.max(last, until);
+    }
+    history.fault("silence", "discovery");
+    return last;
+  }
+
+  /** Discovery shows from now on that node {@code node} drains; the node goes on serving what is sent to it. */
+  public void announce(int node) {
+    history.leaves("node" + node);
+    deployment.announce(node);
+  }
+
   /** How far behind the primary node {@code node} is now, in milliseconds. */
   public long lagMillis(int node) throws IOException {
     return deployment.views().get(node).lagMillis();
--- a/lab/src/test/java/stoatrill/lab/rig/CheckerTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/CheckerTest.java
@@ -47,6 +47,18 @@
     assertFalse(v.clean());
   }
 
+  @Test
+  void whatIsSentToALeavingNodeAfterTheGraceIsNamedByTheClockOfEachRoutersWatch() {
+    List<String> lines = List.of("silent\t1000000000\trouter1\t11000000000", "silent\t1000000000\trouter2\t2000000000",
+        "leaves\t3000000000\tnode2", "sent\t5700000000\tnode2\trouter0", "sent\t5800000000\tnode2\trouter0",
+        "sent\t5800000000\tnode1\trouter0", "sent\t15700000000\tnode2\trouter1", // told at 13 s
+        "sent\t15800000000\tnode2\trouter1", "sent\t9700000000\tnode2\trouter2", // told at 7 s
+        "sent\t9800000000\tnode2\trouter2");
+    Checker.Verdict v = Checker.check(lines);
+    assertEquals(List.of("router0 node2 800", "router1 node2 800", "router2 node2 800"), v.toLeaving());
+    assertFalse(v.clean());
+  }
+
   @Test
   void theSameHistoryGivesTheSameVerdict() {
     List<String> lines = List.of("op\tq1\tread\trouter0\t10\t30\tnone", "ran\tq9\t3");
--- a/lab/src/test/java/stoatrill/lab/rig/PlantedBugTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/PlantedBugTest.java
@@ -36,7 +36,7 @@
    *
    * @param file the file under {@code router/src/main/java}
    */
-  private static RunLine planted(Path dir, String file, String line, String instead) throws Exception {
+  static RunLine planted(Path dir, String file, String line, String instead) throws Exception {
     RunLine shipped = RunLine.find(Path.of(""));
     String source = Files.readString(shipped.root().resolve("router/src/main/java").resolve(file));
     assertTrue(source.contains(line), file + " has changed: plant the bug anew where it was: " + line.strip());
--- a/standins/src/main/java/stoatrill/standins/net/Deployment.java
+++ b/standins/src/main/java/stoatrill/standins/net/Deployment.java
@@ -130,6 +130,11 @@
     });
   }
 
+  /** Discovery shows at once that it drains; the node itself goes on serving what still comes. */
+  public void announce(int node) {
+    discovery.change("node" + node, "state", "Terminating");
+  }
+
   /** It keeps its connections and answers nothing, or goes on. */
   public void hang(int node, boolean hangs) throws IOException {
     time.ask(() -> {
--- a/standins/src/main/java/stoatrill/standins/net/Discovery.java
+++ b/standins/src/main/java/stoatrill/standins/net/Discovery.java
@@ -25,6 +25,8 @@
   private final Map<String, JsonObject> entries = new LinkedHashMap<>();
   private final Map<String, Long> changed = new LinkedHashMap<>();
   private long version = 1;
+  private final Map<Integer, Long> open = new LinkedHashMap<>();
+  private int silences;
   private boolean down;
   private boolean closed;
 
@@ -64,6 +66,16 @@
     notifyAll();
   }
 
+  /**
+   * All open watches fall silent: they are never answered, and their connections stay open. Calls that come later
+   * are answered. Returns when the wait of each would have ended (ns of {@link System#nanoTime}), by the port that
+   * its caller connects from.
+   */
+  public synchronized Map<Integer, Long> silence() {
+    silences++;
+    return Map.copyOf(open);
+  }
+
   /** The list as a router would have held it last. */
   public synchronized String known() {
     return list(-1).toString();
@@ -95,7 +107,7 @@
           hold = Math.min(LONGEST_HOLD, Long.parseLong(part.substring(8)));
         }
       }
-      byte[] body = waitFor(from, hold);
+      byte[] body = waitFor(call.getRemoteAddress().getPort(), from, hold);
       if (body == null) {
         call.sendResponseHeaders(503, -1);
       } else {
@@ -109,15 +121,19 @@
   }
 
   /** The answer once something newer exists or the time is up; null if the service is down. */
-  private synchronized byte[] waitFor(long from, long hold) {
+  private synchronized byte[] waitFor(int port, long from, long hold) {
     long until = System.nanoTime() + hold * 1_000_000L;
+    int heard = silences;
+    open.put(port, until);
     try {
-      while (!down && !closed && from >= version && System.nanoTime() < until) {
-        wait(Math.max(1, (until - System.nanoTime()) / 1_000_000L));
+      while (!down && !closed && (heard < silences || (from >= version && System.nanoTime() < until))) {
+        wait(heard < silences ? 0 : Math.max(1, (until - System.nanoTime()) / 1_000_000L));
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return null;
+    } finally {
+      open.remove(port, until);
     }
     return down || closed ? null : list(from).toString().getBytes(StandardCharsets.UTF_8);
   }
