--- a/lab/src/main/java/stoatrill/lab/rig/Scenario.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Scenario.java
@@ -18,8 +18,8 @@
  *
  * <pre>
  * scenario mixed                 a name
- * routers 3                      1 to 64
- * nodes 4                        2 to 16; the first is the primary
+ * routers 3                      1 to 1,024
+ * nodes 4                        2 to 1,024; the first is the primary
  * clients 6                      1 to 256
  * uploads 30%                    the share of requests that are uploads
  * length 6s                      how long faults go on; clients go on until the last is undone
@@ -55,9 +55,9 @@
     Problems problems = new Problems();
     Reader in = new Reader(SettingsFile.parse(file, text), problems);
     String name = in.text("scenario", "unnamed");
-    int written = in.count("routers", 1, 64, 3);
+    int written = in.count("routers", 1, 1024, 3);
     int routers = routersInstead > 0 ? routersInstead : written;
-    int nodes = in.count("nodes", 2, 16, 4);
+    int nodes = in.count("nodes", 2, 1024, 4);
     int clients = in.count("clients", 1, 256, 6);
     double uploads = in.share("uploads", 0, 1, 0.3);
     long length = in.span("length", 1_000_000L, 3_600_000_000_000L, 6_000_000_000L);
--- a/lab/src/test/java/stoatrill/lab/rig/ScenarioTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/ScenarioTest.java
@@ -26,6 +26,13 @@
     assertNotEquals(three.faults(), Scenario.parse("mixed.conf", text, 4).faults());
   }
 
+  @Test
+  void aScenarioMayHaveAThousandRoutersAndNodes() throws Exception {
+    Scenario s = Scenario.parse("s.conf", "routers 1024\nnodes 1024\n", 1);
+    assertEquals(1024, s.routers());
+    assertEquals(1024, s.nodes());
+  }
+
   @Test
   void aWrongKindAndARouterThatIsNotThereAreSaidWithTheirLines() {
     SettingsException e = assertThrows(SettingsException.class, () -> Scenario.parse("s.conf", """
--- /dev/null
+++ b/router/src/test/java/stoatrill/core/FleetWatchTest.java
@@ -0,0 +1,212 @@
+package stoatrill.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import stoatrill.Gateway.ListKind;
+import stoatrill.config.Config;
+import stoatrill.discovery.DiscoveryClient;
+import stoatrill.discovery.ServerList;
+import stoatrill.scenario.Scenario;
+
+/**
+ * A fleet of routers (discovery client, reducer and module of each) on one clock, before one discovery that takes
+ * calls in turn and would need 1.5 s for a call of each, and fails those that wait over 2 s, as was seen on days
+ * with 6 routers (257 ms a call). All watches fall silent together, and a server drains.
+ */
+class FleetWatchTest {
+  private static final long MS = 1_000_000L;
+  private static final long START = 1_700_000_000_000L * MS;
+  private static final long TURN = 1_500 * MS;
+  private static final long LONGEST_QUEUE = 2_000 * MS;
+
+  private final List<Router> routers = new ArrayList<>();
+  private final ArrayDeque<Call> queue = new ArrayDeque<>();
+  private final List<Call> parked = new ArrayList<>();
+  private final List<Long> calls = new ArrayList<>();
+  private long now = START;
+  private long version = 5;
+  private long freeAt;
+
+  private record Call(Router router, int connection, long from, long at, long until) {}
+
+  private final class Router implements Effects, DiscoveryClient.Peer {
+    private final Deadlines deadlines = new Deadlines();
+    private final List<Runnable> later = new ArrayList<>();
+    private final Reducer reducer;
+    private final DiscoveryClient client;
+    private int connection;
+    private long silentUntil = -1;
+    private long knownAt = -1;
+
+    Router(Config config, long seed) throws Exception {
+      reducer = new Reducer(this, new Clocks(START, START), deadlines, new Reducer.Setup(config.settings(),
+          config.zones(), config.models(), config.connectTimeout(), config.connIdle(), config.mostHeld(), 40, seed));
+      client = new DiscoveryClient(this, deadlines, "h", 5, DiscoveryClient.Timing.of(config.settings(), seed));
+      reducer.members(now, ListKind.CACHED, ServerList.parse(config.known()).entries());
+    }
+
+    void step() {
+      List<Runnable> due = List.copyOf(later);
+      later.clear();
+      due.forEach(Runnable::run);
+      reducer.tick(now);
+    }
+
+    @Override
+    public void open() {
+      int mine = ++connection;
+      later.add(() -> {
+        if (mine == connection) {
+          client.connected(now);
+        }
+      });
+    }
+
+    @Override
+    public void send(byte[] request) {
+      String line = new String(request, StandardCharsets.US_ASCII);
+      calls.add(now);
+      queue.add(new Call(this, connection, Long.parseLong(line.replaceAll("(?s).*from=(\\d+).*", "$1")), now,
+          now + MS * Long.parseLong(line.replaceAll("(?s).*hold_ms=(\\d+).*", "$1"))));
+    }
+
+    @Override
+    public void close() {
+      connection++;
+    }
+
+    @Override
+    public void members(long at, ListKind kind, List<ServerEntry> entries) {
+      knownAt = knownAt < 0 && !entries.isEmpty() ? at : knownAt;
+      reducer.members(at, kind, entries);
+    }
+
+    @Override
+    public void watch(boolean on) {
+      later.add(() -> client.follow(now, on));
+    }
+
+    @Override
+    public void fetch() {}
+
+    @Override
+    public void open(long id, InetSocketAddress endpoint) {}
+
+    @Override
+    public void query(long id, Statement statement, long waitMillis) {}
+
+    @Override
+    public void probe(long id) {}
+
+    @Override
+    public boolean quiet(long id) {
+      return true;
+    }
+
+    @Override
+    public void close(long id) {}
+
+    @Override
+    public void answer(long who, long slot, Answer answer) {}
+
+    @Override
+    public void log(String line) {}
+  }
+
+  private void pass(long millis) {
+    for (long end = now + millis * MS; now < end; ) {
+      now += MS;
+      serve();
+      List.copyOf(parked).forEach(c -> {
+        if (now >= c.until || version > c.from) {
+          parked.remove(c);
+          answer(c);
+        }
+      });
+      routers.forEach(Router::step);
+    }
+  }
+
+  /** Discovery takes its calls one after another; one that waited too long costs it nothing. */
+  private void serve() {
+    while (!queue.isEmpty() && (freeAt <= now || now - queue.peek().at > LONGEST_QUEUE)) {
+      Call c = queue.poll();
+      if (c.connection != c.router.connection) {
+        continue; // given up meanwhile
+      }
+      if (now - c.at > LONGEST_QUEUE) {
+        reply(c, "503 Busy", "");
+        continue;
+      }
+      freeAt = now + TURN / routers.size();
+      if (version > c.from || c.until <= now) {
+        answer(c);
+      } else {
+        parked.add(c);
+      }
+    }
+  }
+
+  private void answer(Call c) {
+    String targets = version > c.from && version > 5
+        ? "{\"uid\":\"r1\",\"endpoint\":\"127.0.0.1:1\",\"az\":\"north\",\"pod_group\":0,\"state\":\"Terminating\"}" : "";
+    reply(c, "200 OK", "{\"rev\":" + version + ",\"all\":false,\"targets\":[" + targets + "]}");
+  }
+
+  private void reply(Call c, String status, String body) {
+    if (c.connection == c.router.connection) {
+      c.router.client.received(now, ByteBuffer.wrap(("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length()
+          + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII)));
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 14, 100, 120})
+  void allOfAFleetKnowInTimeAndDiscoveryBearsTheirCalls(int fleet) throws Exception {
+    Config config = Config.parse(Scenario.config(), Map.of());
+    long grace = config.settings().rules().drainGrace();
+    for (int i = 0; i < fleet; i++) {
+      routers.add(new Router(config, i));
+    }
+    pass(8_000); // the start: all call at once, and some more than once
+    assertEquals(fleet, parked.size(), "all watch");
+    parked.forEach(c -> c.router.silentUntil = c.until);
+    parked.clear();
+    pass(300);
+    version++; // the drain
+    calls.clear();
+    long silence = now;
+    pass(30_000);
+    long worst = Long.MIN_VALUE;
+    for (Router r : routers) {
+      assertTrue(r.knownAt > 0, "a router never knew");
+      long told = Math.max(silence + 6_000 * MS, r.silentUntil + 2_000 * MS);
+      worst = Math.max(worst, r.knownAt - told);
+    }
+    // What was decided before may still wait 250 ms for its connection: it is to be out within the grace too.
+    assertTrue(worst <= grace - 250 * MS, "known " + worst / MS + " ms after it counted as told");
+    int most = 0;
+    for (int i = 0, j = 0; i < calls.size(); i++) {
+      while (calls.get(i) - calls.get(j) > 1_000 * MS) {
+        j++;
+      }
+      most = Math.max(most, i - j + 1);
+    }
+    double each = calls.size() / 30.0 / fleet;
+    String figures = String.format("%d routers: %.3f calls a second each, most in a second %d, the last knows %d ms after told",
+        fleet, each, most, worst / MS);
+    System.out.println(figures);
+    assertTrue(each <= 0.2, figures);
+    assertTrue(most <= Math.max(4, fleet * 1_000 * MS / TURN), figures + ": more than discovery takes in a second");
+  }
+}
--- a/router/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
+++ b/router/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
@@ -182,6 +182,35 @@
     }
   }
 
+  @Test
+  void listsOfThousandsAreTakenWholeAndIndentedAndInPiecesAndOneTooLongLeavesWhatIsHeld() throws Exception {
+    for (int servers : new int[] {1_024, 8_192}) {
+      for (String space : new String[] {"", "\n        "}) {
+        play(4, WATCHING);
+        StringBuilder body = new StringBuilder("{" + space + "\"rev\": 9," + space + "\"targets\": [");
+        for (int i = 0; i < servers; i++) {
+          body.append(i == 0 ? "" : ",").append(String.format("{%1$s\"uid\": \"s-%2$08x\",%1$s\"endpoint\": "
+              + "\"10.1.%3$d.%4$d:5433\",%1$s\"az\": \"a\",%1$s\"model\": \"m2\",%1$s\"pod_group\": %5$d,%1$s"
+              + "\"state\": \"Ready\",%1$s\"capacity_hint\": 1.0,%1$s\"boot_ms\": 1767225600123}", space, i,
+              i >> 8, i & 255, i / 4));
+        }
+        body.append("]}");
+        byte[] all = ("HTTP/1.1 200 x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+            .getBytes(StandardCharsets.US_ASCII);
+        for (int at = 0; at < all.length; at += 4_099) {
+          client.received(now, ByteBuffer.wrap(all, at, Math.min(4_099, all.length - at)));
+        }
+        expect("list", "GET /v1/servers?from=9&hold_ms=WAIT");
+        expect("list", "FULL " + servers);
+      }
+    }
+    play(4, WATCHING);
+    client.received(now, ByteBuffer.wrap("HTTP/1.1 200 x\r\nContent-Length: 99999999\r\n\r\n"
+        .getBytes(StandardCharsets.US_ASCII)));
+    expect("list", "close");
+    expect("list", "FAILED 0");
+  }
+
   @Test
   void aConnectionClosedAtRestIsNoFailure() throws Exception {
     play(4, WATCHING + """
