--- a/router/src/test/java/stoatrill/core/ToldTest.java
+++ b/router/src/test/java/stoatrill/core/ToldTest.java
@@ -489,15 +489,18 @@
 
   @ParameterizedTest
   @CsvSource(textBlock = SITES)
-  void onAnAnswerThatStopsAtAnyByte(String discovery, long graceMillis) throws Exception {
+  void onAnAnswerThatStopsOrIsResetAtAnyByte(String discovery, long graceMillis) throws Exception {
     String whole = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{ \"rev\": 6, \"targets\": [] }";
-    for (int bytes = 1; bytes < whole.length(); bytes += 9) {
+    for (int bytes = 1; bytes < whole.length(); bytes += 5) {
       ToldTest one = new ToldTest();
       one.start(discovery, graceMillis);
       one.pass(1_003);
       one.drainUnheard();
       one.parkedFrom = -1;
       one.client.received(one.now, ByteBuffer.wrap(whole.substring(0, bytes).getBytes(StandardCharsets.US_ASCII)));
+      if (bytes % 2 == 0) {
+        one.reset();
+      }
       one.pass(8_000);
       one.keeps();
     }
