Accept no client before the agent's first answer where lists are pushed

What the agent has counts as told from the process's first moment, and its start alone takes longer than the grace of 250 ms. The front does not see at once that a router died, and sends clients before it has answered an empty query: EventLoop accepted them.

ServeScenarioTest sends a read before the agent answers that its local replica leaves; without the change it goes there.

--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -144,8 +144,13 @@
     } else {
       // The module asks for no list where lists are pushed; on sockets they come by a watch on the agent.
       watch(true);
-      // Guards the servers that have left since: what the agent has counts as told from the first moment.
-      deadlines.at(now() + FIRST_LIST, () -> ready(!known.entries().isEmpty()));
+      // Guards the servers that have left since: what the agent has counts as told from the first moment, and
+      // clients come at once, since the front may not have seen that a router ended. They wait in the backlog.
+      accepts.interestOps(0);
+      deadlines.at(now() + FIRST_LIST, () -> {
+        ready(!known.entries().isEmpty());
+        admit();
+      });
     }
     shareDescriptors();
     compareClocks();
@@ -344,11 +349,14 @@
       // Guards against spinning on a connection that can't be accepted for want of descriptors.
       LOG.warn("accept failed: {}", e.getMessage());
       accepts.interestOps(0);
-      deadlines.at(now() + ACCEPT_PAUSE, () -> {
-        if (accepts.isValid()) {
-          accepts.interestOps(SelectionKey.OP_ACCEPT);
-        }
-      });
+      deadlines.at(now() + ACCEPT_PAUSE, this::admit);
+    }
+  }
+
+  /** Accepts clients from now on, if the listener is still open. */
+  private void admit() {
+    if (accepts.isValid()) {
+      accepts.interestOps(SelectionKey.OP_ACCEPT);
     }
   }
 
@@ -740,6 +748,7 @@
   private void ready(boolean listed) {
     if (!ready && listed) {
       ready = true;
+      admit();
       List.copyOf(clients.values()).forEach(c -> c.protocol.ready());
     }
   }
--- a/router/src/test/java/stoatrill/ServeScenarioTest.java
+++ b/router/src/test/java/stoatrill/ServeScenarioTest.java
@@ -287,11 +287,11 @@
   void pushedListsAreAskedForBeforeTheRouterServesAndWatchedFromThenOn() throws Exception {
     play("on_request", "pushed", """
         c send startup
+        c send read 1
         list expect GET /v1/servers?from=5&hold_ms=0
         list send {"rev":6,"all":false,"targets":[{"uid":"r1","endpoint":"127.0.0.1:9","az":"north","pod_group":0,"state":"Terminating"}]}
         list expect GET /v1/servers?from=6&hold_ms=WAIT
         c expect ready
-        c send read 1
         r2 expect read 1
         r2 send row x
         c expect row x
