Say once why an answer of discovery can't be used, and spread waits whatever the seeds

A list that is cut short, of rubbish, or longer than 4 MiB was dropped without a word: DiscoveryClient.done and received swallowed the cause. Now one line names discovery's address, what was wrong ("no field "targets"", "length "" is not a number from 0 to 4194304") and that the list held stays in use; it comes once until an answer can be used again, so that a broken discovery fills no log.

The waits of watches are drawn from the seed and the router's number together: seeds that are all the same, as a configuration without one has them, would let a fleet's watches end together.

--- a/router/src/main/java/stoatrill/discovery/DiscoveryClient.java
+++ b/router/src/main/java/stoatrill/discovery/DiscoveryClient.java
@@ -42,7 +42,7 @@
     public static Timing of(Settings settings, long seed) {
       long grace = settings.rules().drainGrace();
       return new Timing(!settings.asked(), Math.min(MOST_LATE, grace),
-          settings.asked() ? TURN : Math.min(TURN, grace / 2), seed);
+          settings.asked() ? TURN : Math.min(TURN, grace / 2), seed + settings.me()); // seeds may all be the same
     }
   }
 
@@ -57,6 +57,9 @@
     void close();
 
     void members(long now, ListKind kind, List<ServerEntry> entries);
+
+    /** A line for the operators. */
+    void log(String line);
   }
 
   /** CHECK asks for changes as a watch does, and is answered at once. */
@@ -71,6 +74,7 @@
   private boolean following;
   private boolean wantsAll;
   private boolean unsure;
+  private boolean said;
   private Call call = Call.NONE;
   private boolean up;
   private boolean opening;
@@ -180,6 +184,7 @@
         done(now, response);
       }
     } catch (BadResponseException e) {
+      unusable(e.getMessage());
       fail(now);
     }
     bytes.position(bytes.limit()); // one call at a time: nothing may follow its answer
@@ -220,15 +225,26 @@
       ServerList list = ServerList.parse(new String(response.body(), StandardCharsets.UTF_8));
       finish();
       unsure = false;
+      said = false;
       version = list.version();
       // The next call goes out first: a watch ends if it is not renewed within 200 ms.
       next(now);
       peer.members(now, list.all() ? ListKind.FULL : ListKind.DELTA, list.entries());
     } catch (ServerList.BadListException e) {
+      unusable(e.getMessage());
       fail(now);
     }
   }
 
+  /** Says what is wrong with an answer, once until one can be used again. */
+  private void unusable(String why) {
+    if (!said) {
+      said = true;
+      peer.log("discovery at " + host + " gave an answer that can't be used (" + why
+          + "); the list held before stays in use and is asked for again");
+    }
+  }
+
   private void finish() {
     call = Call.NONE;
     if (patience != null) {
--- a/router/src/main/java/stoatrill/http/ResponseParser.java
+++ b/router/src/main/java/stoatrill/http/ResponseParser.java
@@ -137,7 +137,7 @@
     } catch (NumberFormatException e) {
       // said below
     }
-    throw new BadResponseException("no number in range: " + text);
+    throw new BadResponseException("length \"" + text + "\" is not a number from 0 to " + LONGEST_BODY);
   }
 
   private void take(ByteBuffer in, int n) throws BadResponseException {
--- a/router/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
+++ b/router/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
@@ -80,6 +80,7 @@
   void aListThatCantBeReadIsAFailedCall() throws Exception {
     play(4, WATCHING + """
         list send 200 {"rev":5,"targets":[{"uid":"s","endpoint":"a.name:1","state":"Ready"}]}
+        list expect said not a list of servers: not a numeric address and port: a.name:1
         list expect close
         list expect FAILED 0
         """);
@@ -207,10 +208,39 @@
     play(4, WATCHING);
     client.received(now, ByteBuffer.wrap("HTTP/1.1 200 x\r\nContent-Length: 99999999\r\n\r\n"
         .getBytes(StandardCharsets.US_ASCII)));
+    expect("list", "said length \"99999999\" is not a number from 0 to 4194304");
     expect("list", "close");
     expect("list", "FAILED 0");
   }
 
+  @Test
+  void whatIsWrongWithAnswersIsSaidOnceUntilOneCanBeUsed() throws Exception {
+    play(4, WATCHING + """
+        list send 200 {"rev":5}
+        list expect said not a list of servers: no field "targets"
+        list expect close
+        list expect FAILED 0
+        module send follow
+        list expect open
+        list send up
+        list expect GET /v1/servers?from=4&hold_ms=WAIT
+        list send 200 {"rev":5}
+        list expect close
+        list expect FAILED 0
+        module send follow
+        list expect open
+        list send up
+        list expect GET /v1/servers?from=4&hold_ms=WAIT
+        list send 200 {"rev":5,"targets":[]}
+        list expect GET /v1/servers?from=5&hold_ms=WAIT
+        list expect FULL 0
+        list send 200 {"rev":6,"targets":[{"uid":"s"}]}
+        list expect said not a list of servers: no field "state"
+        list expect close
+        list expect FAILED 0
+        """);
+  }
+
   @Test
   void aConnectionClosedAtRestIsNoFailure() throws Exception {
     play(4, WATCHING + """
@@ -278,4 +308,10 @@
   public void members(long at, ListKind kind, List<ServerEntry> entries) {
     seen.add(kind + " " + entries.size());
   }
+
+  @Override
+  public void log(String line) {
+    seen.add("said " + line.replaceFirst("discovery at h gave an answer that can't be used \\((.*)\\); the list held "
+        + "before stays in use and is asked for again", "$1"));
+  }
 }
