--- a/router/src/test/java/stoatrill/core/ToldTest.java
+++ b/router/src/test/java/stoatrill/core/ToldTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -339,6 +340,32 @@
     return (asked ? "asked" : "pushed") + ", grace " + grace / MS + " ms";
   }
 
+  private interface Scene<T> {
+    void play(ToldTest one, T with) throws Exception;
+  }
+
+  /** Plays a scene anew with each of some values; all of them must keep the rule. */
+  private static <T> void each(String discovery, long graceMillis, Iterable<T> values, Scene<T> scene) throws Exception {
+    for (T value : values) {
+      ToldTest one = new ToldTest();
+      one.start(discovery, graceMillis);
+      scene.play(one, value);
+      one.keeps();
+    }
+  }
+
+  private static List<Integer> steps(int to, int step) {
+    return IntStream.range(0, (to + step - 1) / step).mapToObj(i -> i * step).toList();
+  }
+
+  /** The first watch falls silent, and servers drain behind it. */
+  private void drainBehindSilence(long after) {
+    pass(503);
+    fallSilent();
+    pass(after);
+    drainAll();
+  }
+
   private void drainAll() {
     drain("r1");
     drain("p");
@@ -356,16 +383,10 @@
   @ParameterizedTest
   @CsvSource(textBlock = SITES)
   void onAWatchThatFellSilentWhateverTheMoment(String discovery, long graceMillis) throws Exception {
-    for (int moment = 0; moment < 24_000; moment += 500) {
-      ToldTest one = new ToldTest();
-      one.start(discovery, graceMillis);
-      one.pass(503);
-      one.fallSilent();
-      one.pass(moment);
-      one.drainAll();
+    each(discovery, graceMillis, steps(24_000, 500), (one, moment) -> {
+      one.drainBehindSilence(moment);
       one.pass(25_000);
-      one.keeps();
-    }
+    });
   }
 
   @ParameterizedTest
@@ -373,10 +394,7 @@
   void onASilentWatchBeforeADiscoveryWhoseQueueIsNearlyAsLongAsItMayBe(String discovery, long graceMillis)
       throws Exception {
     start(discovery, graceMillis);
-    pass(503);
-    fallSilent();
-    pass(300);
-    drainAll();
+    drainBehindSilence(300);
     queue = asked ? 1_900 : 1;
     pass(26_000);
     keeps();
@@ -404,15 +422,12 @@
     keeps();
   }
 
-  /** Where the call after a silence is lost too, an asked list can come 2.5 s later still: a grace of 2 s bears that. */
+  /** Where the call after a silence is lost too, an asked list comes 2.5 s later and more: a grace of 2 s just bears that. */
   @ParameterizedTest
   @CsvSource(textBlock = "asked,2000\npushed,250\npushed,500\npushed,1000\npushed,2000")
   void onASilentWatchWhoseNextCallIsLostToo(String discovery, long graceMillis) throws Exception {
     start(discovery, graceMillis);
-    pass(503);
-    fallSilent();
-    pass(300);
-    drainAll();
+    drainBehindSilence(300);
     swallows = true;
     long calls = listCalls;
     while (listCalls == calls) {
@@ -426,24 +441,19 @@
   @ParameterizedTest
   @CsvSource(textBlock = SITES)
   void onAWatchThatIsResetWhateverTheMoment(String discovery, long graceMillis) throws Exception {
-    for (int moment = 0; moment < 1_000; moment += 50) {
-      ToldTest one = new ToldTest();
-      one.start(discovery, graceMillis);
+    each(discovery, graceMillis, steps(1_000, 50), (one, moment) -> {
       one.pass(4_003);
       one.reset();
       one.pass(moment);
       one.drainAll();
       one.pass(14_000);
-      one.keeps();
-    }
+    });
   }
 
   @ParameterizedTest
   @CsvSource(textBlock = SITES)
   void whileDiscoveryIsDownAndSoonAfterItsReturn(String discovery, long graceMillis) throws Exception {
-    for (int away : List.of(300, 2_000, 7_700, 31_000)) {
-      ToldTest one = new ToldTest();
-      one.start(discovery, graceMillis);
+    each(discovery, graceMillis, List.of(300, 2_000, 7_700, 31_000), (one, away) -> {
       one.pass(1_003);
       one.down(true);
       one.pass(away / 2);
@@ -453,8 +463,7 @@
       one.pass(400);
       one.drain("p");
       one.pass(16_000);
-      one.keeps();
-    }
+    });
   }
 
   @ParameterizedTest
@@ -474,40 +483,29 @@
 
   @ParameterizedTest
   @CsvSource(textBlock = SITES)
-  void onAnAnswerOfRubbish(String discovery, long graceMillis) throws Exception {
-    for (String body : List.of("[", "{\"rev\":7}", "\0\1", "{\"rev\":7,\"targets\":[{\"uid\":4}]}")) {
-      ToldTest one = new ToldTest();
-      one.start(discovery, graceMillis);
-      one.pass(1_003);
-      one.drainUnheard();
-      one.parkedFrom = -1;
-      one.reply("200 OK", body);
-      one.pass(8_000);
-      one.keeps();
-    }
-  }
-
-  @ParameterizedTest
-  @CsvSource(textBlock = SITES)
-  void onAnAnswerThatStopsOrIsResetAtAnyByte(String discovery, long graceMillis) throws Exception {
+  void onAnAnswerOfRubbishAndOneThatStopsOrIsResetAtAnyByte(String discovery, long graceMillis) throws Exception {
+    each(discovery, graceMillis, List.of("[", "{\"rev\":7}", "\0\1", "{\"rev\":7,\"targets\":[{\"uid\":4}]}"),
+        (one, body) -> {
+          one.drainUnheard();
+          one.reply("200 OK", body);
+          one.pass(8_000);
+        });
     String whole = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{ \"rev\": 6, \"targets\": [] }";
-    for (int bytes = 1; bytes < whole.length(); bytes += 5) {
-      ToldTest one = new ToldTest();
-      one.start(discovery, graceMillis);
-      one.pass(1_003);
+    each(discovery, graceMillis, steps(whole.length() - 1, 5), (one, bytes) -> {
       one.drainUnheard();
-      one.parkedFrom = -1;
-      one.client.received(one.now, ByteBuffer.wrap(whole.substring(0, bytes).getBytes(StandardCharsets.US_ASCII)));
+      one.client.received(one.now,
+          ByteBuffer.wrap(whole.substring(0, bytes + 1).getBytes(StandardCharsets.US_ASCII)));
       if (bytes % 2 == 0) {
         one.reset();
       }
       one.pass(8_000);
-      one.keeps();
-    }
+    });
   }
 
   /** A change whose news is lost: it counts 6 s later. */
   private void drainUnheard() {
+    pass(1_003);
+    parkedFrom = -1;
     version++;
     for (String uid : List.of("r1", "p")) {
       leftAt.put(uid, now);
--- a/router/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
+++ b/router/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
@@ -18,11 +18,21 @@
 /** Discovery's client with fake time: {@code module} follows, {@code list} is the service at the other end. */
 class DiscoveryScenarioTest implements Scenario.Stage, DiscoveryClient.Peer {
   private static final long MS = 1_000_000L;
-  private static final String WATCHING = """
-      module send follow
+  private static final String FOLLOWED = "module send follow\nlist expect open\nlist send up\n";
+  private static final String WATCHING = FOLLOWED + "list expect GET /v1/servers?from=4&hold_ms=WAIT\n";
+  private static final String CHECKING = FOLLOWED + "list expect GET /v1/servers?from=4&hold_ms=0\n";
+  private static final String FAILED = "list expect close\nlist expect FAILED 0\n";
+  private static final String SILENT = """
+      list expect close
       list expect open
+      list expect SILENT 0
       list send up
-      list expect GET /v1/servers?from=4&hold_ms=WAIT
+      list expect GET /v1/servers?from=4&hold_ms=0
+      """;
+  private static final String CHECKED = """
+      list send 200 {"rev":5,"all":false,"targets":[]}
+      list expect GET /v1/servers?from=5&hold_ms=WAIT
+      list expect DELTA 0
       """;
   private final ArrayDeque<String> seen = new ArrayDeque<>();
   private final Deadlines deadlines = new Deadlines();
@@ -88,38 +98,12 @@
 
   @Test
   void aSilentWatchIsOpenedAnewHalfASecondAfterItsWaitByACallThatIsAnsweredAtOnce() throws Exception {
-    play(4, WATCHING + """
-        clock send the wait and 499
-        list expect nothing
-        wait 1
-        list expect close
-        list expect open
-        list expect SILENT 0
-        list send up
-        list expect GET /v1/servers?from=4&hold_ms=0
-        list send 200 {"rev":5,"all":false,"targets":[]}
-        list expect GET /v1/servers?from=5&hold_ms=WAIT
-        list expect DELTA 0
-        """);
+    play(4, WATCHING + "clock send the wait and 499\nlist expect nothing\nwait 1\n" + SILENT + CHECKED);
   }
 
   @Test
   void aSecondSilenceIsNoticedWithoutAnotherWaitAndTheNextCallIsNoWatchEither() throws Exception {
-    play(4, WATCHING + """
-        clock send the wait and 500
-        list expect close
-        list expect open
-        list expect SILENT 0
-        list send up
-        list expect GET /v1/servers?from=4&hold_ms=0
-        wait 2500
-        list expect close
-        list expect FAILED 0
-        module send follow
-        list expect open
-        list send up
-        list expect GET /v1/servers?from=4&hold_ms=0
-        """);
+    play(4, WATCHING + "clock send the wait and 500\n" + SILENT + "wait 2500\n" + FAILED + CHECKING);
   }
 
   @Test
@@ -149,22 +133,7 @@
   @Test
   void anAgentIsAskedWhatItHasFirstAndACallToItIsLostAfterHalfTheGrace() throws Exception {
     Timing pushed = new Timing(true, 250 * MS, 125 * MS, 1);
-    play(4, pushed, """
-        module send follow
-        list expect open
-        list send up
-        list expect GET /v1/servers?from=4&hold_ms=0
-        wait 125
-        list expect close
-        list expect FAILED 0
-        module send follow
-        list expect open
-        list send up
-        list expect GET /v1/servers?from=4&hold_ms=0
-        list send 200 {"rev":5,"all":false,"targets":[]}
-        list expect GET /v1/servers?from=5&hold_ms=WAIT
-        list expect DELTA 0
-        """);
+    play(4, pushed, CHECKING + "wait 125\n" + FAILED + CHECKING + CHECKED);
   }
 
   @Test
