--- a/router/src/main/java/stoatrill/discovery/package-info.java
+++ b/router/src/main/java/stoatrill/discovery/package-info.java
@@ -1,2 +1,2 @@
-/** The list of servers: reading it, asking for it and watching it. Knows no socket. */
+/** The list of servers: reading it, asking for it, watching it, and when a watch has fallen silent. Knows no socket. */
 package stoatrill.discovery;
