Begin no attempt that waited for its connection once its request is over

Cause: Reducer.write looked at the age of data and at drains of an attempt that had waited for its connection, but not at its request. A loop that is late could write one after the client's deadline, since the answer of the server's handshake was handled before the time-out; and a keyed repeat was written after the class's window for repeats when its connection came up late.

Now: a request that ends withdraws what still waits for it, and write() refuses an attempt whose request is over, past its deadline or past its window.

Tests (fake time): with cancel off, a client that leaves before "up"; a loop 120 ms late at a deadline of 100 ms; a repeat whose connection comes up 190 and 193 ms into a window of 200 ms.

--- a/router/src/main/java/stoatrill/core/Attempt.java
+++ b/router/src/main/java/stoatrill/core/Attempt.java
@@ -22,4 +22,9 @@
     this.server = server;
     this.sentAt = sentAt;
   }
+
+  /** Whether the server may have run it: by its outcome, or because its last byte is out. */
+  boolean mayHaveRunByNow() {
+    return mayHaveRun || state == State.OUT;
+  }
 }
--- a/router/src/main/java/stoatrill/core/Reducer.java
+++ b/router/src/main/java/stoatrill/core/Reducer.java
@@ -194,6 +194,7 @@
         finish(r, new Answer.Failed("the router is ending"));
       }
     }
+    drain();
   }
 
   /** How many connections to servers there may be from now on, by what the router holds open beside them. */
@@ -476,7 +477,7 @@
   }
 
   private static boolean mayHaveRun(Request r) {
-    return r.attempts.stream().anyMatch(a -> a.mayHaveRun || a.state == Attempt.State.OUT);
+    return r.attempts.stream().anyMatch(Attempt::mayHaveRunByNow);
   }
 
   @Override
@@ -525,7 +526,7 @@
       effects.probe(c.id);
       return true;
     }
-    if (staleByNow(a) || leftByNow(a)) {
+    if (a.request.over || now >= a.request.deadline || isStale(a) || isLeaving(a) || repeatWindowOver(a)) {
       actions.add(() -> end(a, Result.MOOT, null));
       return false;
     }
@@ -540,7 +541,7 @@
    * Whether what is known of the server no longer satisfies a bounded read that waited for its connection.
    * Guards the rule on the age of data, whose bound is counted from the last byte of the send.
    */
-  private boolean staleByNow(Attempt a) {
+  private boolean isStale(Attempt a) {
     RequestClass kind = a.request.kind;
     return kind.need() == Need.BOUNDED && now - a.sentAt > DECISION_KEEPS
         && setup.settings().replication().check() == Check.NONE
@@ -552,11 +553,24 @@
    * the grace or, where that may have been told before it was heard here, at all. Guards the rule on drains, which
    * counts a send by its first byte.
    */
-  private boolean leftByNow(Attempt a) {
+  private boolean isLeaving(Attempt a) {
     return now - a.sentAt > DECISION_KEEPS && a.server.leavingSince != ServerPool.Server.STAYS
         && now - a.server.leavingSince >= setup.settings().rules().drainGrace() / 2;
   }
 
+  /**
+   * Whether a further attempt that waited for its connection comes after the class's window for repeats, counted
+   * from when the first that may have run was sent. Guards keyed requests against a repeat that is no longer
+   * recognised as one, where connections come up late or windows are short.
+   */
+  private boolean repeatWindowOver(Attempt a) {
+    if (a.number == 0 || a.request.kind.effect() != Effect.KEYED) {
+      return false;
+    }
+    long window = a.request.kind.repeatWindow() - setup.settings().rules().answerSlack();
+    return a.request.attempts.stream().anyMatch(o -> o != a && o.mayHaveRunByNow() && now >= o.sentAt + window);
+  }
+
   @Override
   public void unconnected(Attempt a, boolean full) {
     actions.add(() -> end(a, full ? Result.FULL : Result.CONNECT_FAILED, null));
@@ -677,6 +691,11 @@
     if (answer != null) {
       effects.answer(r.client, r.slot, answer);
     }
+    for (Attempt a : r.attempts) {
+      if (a.state == Attempt.State.WAITING) {
+        actions.add(() -> stop(a, Result.CANCELLED)); // nobody is left to begin it for
+      }
+    }
   }
 
   /** Guards the rule on answers should the module ever leave a request without one. */
--- a/router/src/test/java/stoatrill/core/ReducerScenarioTest.java
+++ b/router/src/test/java/stoatrill/core/ReducerScenarioTest.java
@@ -53,8 +53,11 @@
   }
 
   private void play(int connections, String steps) throws Exception {
+    play(connections, Scenario.config(), steps);
+  }
+
+  private void play(int connections, String text, String steps) throws Exception {
     int port = 1;
-    String text = Scenario.config();
     while (text.contains("127.0.0.1:9\", \"az\"")) {
       byPort.put(port, List.of("", "r1", "r2", "p").get(port));
       text = text.replaceFirst("127.0.0.1:9\", \"az\"", "127.0.0.1:" + port++ + "\", \"az\"");
@@ -262,6 +265,42 @@
         """);
   }
 
+  @Test
+  void anAttemptThatWaitsForItsConnectionNeverBeginsOnceItsClientHasLeftOrItsTimeIsOver() throws Exception {
+    String noCancel = Scenario.config().replace("\"cancel\": true", "\"cancel\": false");
+    play(40, noCancel, """
+        c send archive a 500
+        r1 expect open
+        c close
+        r1 send up
+        r1 expect nothing
+        """);
+    play("""
+        c send upload u 100
+        p expect open
+        router send stall 120
+        p send up
+        p expect nothing
+        wait 1
+        c expect u refused
+        p expect nothing
+        """);
+  }
+
+  @Test
+  void aRepeatThatWaitsForItsConnectionIsNotWrittenAfterTheWindowForRepeats() throws Exception {
+    String keyed = Scenario.config().replace("\"side_effect\"", "\"token\", \"group\": \"all\", \"repeatWindow\": 200000000");
+    String repeat = UPLOAD_AT_P + """
+        p send taken
+        p close
+        p expect open
+        wait %d
+        p send up
+        """;
+    play(40, keyed, repeat.formatted(190) + "p expect query u 810\n");
+    play(40, keyed, repeat.formatted(193) + "c expect u refused\np expect nothing\n");
+  }
+
   @Test
   void aConnectionAtRestIsClosedBeforeTheServerMay() throws Exception {
     play(READ_AT_R1 + """
@@ -405,7 +444,10 @@
       return;
     }
     if (actor.equals("router")) {
-      reducer.failAll(now);
+      switch (words[0]) {
+        case "stall" -> now += Long.parseLong(words[1]) * MS; // the loop is late: no deadline is swept
+        default -> reducer.failAll(now);
+      }
       return;
     }
     long connection = connectionOf.get(actor);
