End in order: take the backlog before the listener ends, and wait for clients to read

Cause: the listener was closed with connections in its backlog, which resets them and the requests that lie in them (seen: "Connection reset", with 131 connections in the backlog of a router whose loop was stopped over that moment); the process ended in the turn in which the last answers were worded, with clients still to read them, so bytes that came in between reset the connection under them; a SIGTERM or SIGHUP that came between the listener's start and the loop's was the JVM's to handle.

Test: SIGTERM twice, the router stopped from before the listener's end until after it. The early signals can't be ordered from outside, so they have no test.

--- a/router/src/main/java/stoatrill/Main.java
+++ b/router/src/main/java/stoatrill/Main.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import stoatrill.cli.Commands;
@@ -24,7 +25,10 @@
  * the command line's library nor a second log library; all else is read by {@link Commands}.
  */
 public final class Main {
-  private static volatile EventLoop serving;
+  /** The loop that signals go to, and those that came before there was one; guarded by this class. */
+  private static EventLoop serving;
+  private static boolean reloadAsked;
+  private static boolean stopAsked;
 
   private Main() {}
 
@@ -48,17 +52,18 @@
     try {
       Config config = Config.read(System.getenv());
       Logs.name(config.name());
-      EventLoop loop = new EventLoop(config, PgClient::new, PgServer::new);
+      // Before the listener is up: what comes in from then on counts as taken, also if SIGTERM is here already.
       Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-        loop.stop();
+        asked(loop -> loop.stop(), () -> stopAsked = true);
         try {
           ended.await(); // the process ends when the hook does: only once all is answered
         } catch (InterruptedException e) {
           Thread.currentThread().interrupt();
         }
       }));
-      serving = loop;
       try {
+        EventLoop loop = new EventLoop(config, PgClient::new, PgServer::new);
+        serves(loop);
         loop.run();
       } finally {
         ended.countDown();
@@ -91,14 +96,33 @@
   }
 
   /** Reads the configuration anew. Each signal has a thread of its own: the last one in reads last. */
-  private static synchronized void reload() {
-    EventLoop loop = serving;
-    if (loop != null) {
+  private static void reload() {
+    asked(loop -> {
       try {
         loop.reload(Config.read(System.getenv()));
       } catch (ConfigException e) {
         log().warn("the configuration is kept as it was: {}", e.getMessage());
       }
+    }, () -> reloadAsked = true);
+  }
+
+  /** Does what a signal asks for, or keeps it in mind until there is a loop that can do it. */
+  private static synchronized void asked(Consumer<EventLoop> now, Runnable orElse) {
+    if (serving != null) {
+      now.accept(serving);
+    } else {
+      orElse.run();
+    }
+  }
+
+  /** From now on signals go to this loop; those that came before it was up are carried out. */
+  private static synchronized void serves(EventLoop loop) {
+    serving = loop;
+    if (reloadAsked) {
+      reload();
+    }
+    if (stopAsked) {
+      loop.stop();
     }
   }
 
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -66,6 +66,8 @@
   private static final long STOP_SLACK = 500 * MILLI;
   /** The part of that time for which clients are served on before their connections are ended. */
   private static final double SERVE_ON = 0.92;
+  /** After the last answers clients may take so long to read them and end; a tenth of a second is left then. */
+  private static final long LAST_READ = 100 * MILLI;
   private static final long LINGER = 1_000 * MILLI;
   /** Connections accepted in one turn. */
   private static final int MOST_ACCEPTED = 64;
@@ -114,11 +116,14 @@
   private boolean ready;
   private volatile boolean stopAsked;
   private volatile Config replacement;
-  private boolean stopping;
-  private boolean lonely;
-  private boolean draining;
+  private Stop stop = Stop.NONE;
+  /** Whether the front has surely heard of the end, so that an idle router may go before its time. */
+  private boolean stopsIdle;
   private boolean stopped;
 
+  /** The course of a graceful shutdown: first all are served on, then connections are ended as they become idle. */
+  private enum Stop { NONE, SERVES_ON, DRAINS }
+
   /** Listens already; clients are served by {@link #run}. */
   public EventLoop(Config config, Function<ClientProtocol.Peer, ClientProtocol> clientProtocol,
       Function<ServerProtocol.Peer, ServerProtocol> serverProtocol) throws IOException {
@@ -311,7 +316,7 @@
     }
     reconfigure();
     if (stopAsked) {
-      wind();
+      shutDown();
     }
   }
 
@@ -333,28 +338,37 @@
 
   // ---- Stopping ----
 
-  private void wind() throws IOException {
-    if (!stopping) {
-      stopping = true;
+  /** Goes on with a graceful shutdown; called in each turn once one was asked for. */
+  private void shutDown() throws IOException {
+    if (stop == Stop.NONE) {
+      stop = Stop.SERVES_ON;
       long longest = config.settings().classes().stream().mapToLong(c -> c.giveUp()).max().orElse(0);
       // Guards the other routers: clients whose connections end now would all come to them at once.
       long span = Math.min(MOST_STOP, longest) + STOP_SLACK;
-      deadlines.at(now() + ACCEPT_ON, () -> lonely = true);
-      deadlines.at(now() + (long) (span * SERVE_ON), () -> draining = true);
+      deadlines.at(now() + ACCEPT_ON, () -> stopsIdle = true);
+      deadlines.at(now() + (long) (span * SERVE_ON), () -> stop = Stop.DRAINS);
       deadlines.at(now() + span, () -> {
         reducer.failAll(now()); // an upload that takes too long still gets its one answer
-        stopped = true;
+        deadlines.at(now() + LAST_READ, () -> stopped = true); // from now: the loop may be late
       });
     }
-    if (lonely) {
-      stopped |= clients.isEmpty() && reducer.unanswered() == 0;
+    boolean idle = clients.isEmpty() && reducer.unanswered() == 0;
+    if (stop == Stop.DRAINS || (stopsIdle && idle)) {
+      closeListener();
     }
-    if (draining) {
-      listener.close();
-      for (ClientLink client : List.copyOf(clients.values())) {
-        client.release();
-      }
+    if (stop == Stop.DRAINS) {
+      List.copyOf(clients.values()).forEach(ClientLink::release);
     }
+    stopped |= !listener.isOpen() && clients.isEmpty() && reducer.unanswered() == 0;
+  }
+
+  /** Takes the connections that wait in the backlog, which its end would reset, and ends it. */
+  private void closeListener() throws IOException {
+    for (long before = -1; listener.isOpen() && before < clientIds;) {
+      before = clientIds;
+      accept();
+    }
+    listener.close();
   }
 
   // ---- Clients ----
--- a/router/src/test/java/stoatrill/ServeScenarioTest.java
+++ b/router/src/test/java/stoatrill/ServeScenarioTest.java
@@ -391,6 +391,33 @@
         """);
   }
 
+  /** Stopped from before the listener's end until after it, with a connection in the backlog and a signal twice. */
+  @Test
+  void atSigtermConnectionsInTheBacklogAreTakenBeforeTheListenerEnds() throws Exception {
+    play(text -> text.replace("\"giveUp\": 3000000000", "\"giveUp\": 500000000").replace(": 128", ": 512"), CONNECTED + """
+        router send TERM
+        router send TERM
+        c send query SELECT v /* id=1,c=archive,d=4000,cluster=0 */
+        r1 expect read 1
+        r1 send row a
+        c expect row a
+        router send STOP
+        many send crowd 130
+        d send startup
+        d send query SELECT v /* id=2,c=archive,d=4000,cluster=0 */
+        router expect later 1200
+        router send CONT
+        d expect ready
+        d expect error 53300
+        c expect end
+        d expect end
+        c close
+        d close
+        many send leave
+        router expect stopped; invariants broken: {}
+        """);
+  }
+
   @Test
   void atSigtermWhatWasTakenIsAnsweredBeforeTheProcessEnds() throws Exception {
     play(CONNECTED + """
