Honour CancelRequest: the request ends at once, an upload never runs twice

Need: a client that cancels counts as gone, and its CancelRequest was closed unread; BackendKeyData held zeros.

A CancelRequest takes back the request that its connection waits longest for: 57014 to the client, nothing further is begun, what is out is abandoned. A wrong key changes nothing.

Tests: the reducer on fake time, and real connections with a right, a wrong and a late key. The platform bears it: the router has sent BackendKeyData all along.

--- a/router/src/main/java/stoatrill/core/Answer.java
+++ b/router/src/main/java/stoatrill/core/Answer.java
@@ -12,6 +12,9 @@
   /** Failed, with no promise about its effect. */
   record Failed(String why) implements Answer {}
 
+  /** Taken back by the client, with no promise about its effect. */
+  record Cancelled() implements Answer {}
+
   /** Not a request that this router can take. */
   record Invalid(String why) implements Answer {}
 }
--- a/router/src/main/java/stoatrill/core/Reducer.java
+++ b/router/src/main/java/stoatrill/core/Reducer.java
@@ -185,6 +185,16 @@
     }
   }
 
+  /** A client has taken back one request: it ends at once, and what is out for it is called off. */
+  public void cancelled(long at, long client, long slot) {
+    now = at;
+    Request r = open.getOrDefault(client, Map.of()).get(slot);
+    if (r != null) {
+      finish(r, new Answer.Cancelled());
+      tell(() -> module.left(now, r.id));
+    }
+  }
+
   /** The router is about to end: fails all that is still owed an answer; what is still to come is refused. */
   public void failAll(long at) {
     now = at;
--- a/router/src/main/java/stoatrill/net/ClientProtocol.java
+++ b/router/src/main/java/stoatrill/net/ClientProtocol.java
@@ -18,6 +18,18 @@
     /** Asks for {@link ClientProtocol#proceed} in the next turn. */
     void proceedLater();
 
+    /**
+     * The key by which another connection may take back what this one asks: unguessable, and of this connection
+     * alone for as long as it is open.
+     */
+    long cancelKey();
+
+    /** Takes back what the connection with that key waits for; of no effect if there is none. */
+    void cancel(long key);
+
+    /** Takes back the request with that slot; its answer follows. */
+    void takeBack(long slot);
+
     void write(byte[] bytes);
 
     /** Ends the connection once everything written is out. */
@@ -30,6 +42,9 @@
   /** Reads commands from what has come in, some at a time. */
   void proceed();
 
+  /** Takes back the request that waits longest for its answer, if one does. */
+  void cancel();
+
   /** The final answer to a request; it is written once all before it are. */
   void answer(long slot, Answer answer);
 
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -103,6 +103,8 @@
   private final ByteBuffer buffer = ByteBuffer.allocateDirect(BUFFER);
   private final Map<Long, ServerLink> servers = new HashMap<>();
   private final Map<Long, ClientLink> clients = new LinkedHashMap<>();
+  private final Map<Long, ClientLink> byCancelKey = new HashMap<>();
+  private final CancelKeys cancelKeys = new CancelKeys();
   private final ArrayDeque<Runnable> later = new ArrayDeque<>();
   /** The clients of which bytes came in that may hold a command. */
   private final ArrayDeque<ClientLink> due = new ArrayDeque<>();
@@ -380,6 +382,7 @@
         boolean room = clients.size() < Math.min(mostClients, sockets - reducer.serverConnections()) || shed();
         ClientLink client = new ClientLink(clientIds++, channel);
         clients.put(client.id, client);
+        byCancelKey.put(client.cancelKey, client);
         shareDescriptors();
         if (!room) {
           client.protocol.turnAway();
@@ -460,6 +463,7 @@
     private boolean half;
     private boolean isDue;
     private int held;
+    private final long cancelKey;
     private Deadline linger;
     /** When it connected, a message began, a command was read or an answer given; whichever came last. */
     private long since = now();
@@ -468,6 +472,26 @@
       super(EventLoop.this, channel, SelectionKey.OP_READ);
       this.id = id;
       this.protocol = clientProtocol.apply(this);
+      this.cancelKey = cancelKeys.next(byCancelKey::containsKey);
+    }
+
+    @Override
+    public long cancelKey() {
+      return cancelKey;
+    }
+
+    @Override
+    public void cancel(long key) {
+      ClientLink asks = byCancelKey.get(key);
+      if (asks != null) {
+        asks.proceed(); // what it had sent before it cancelled
+        asks.protocol.cancel();
+      }
+    }
+
+    @Override
+    public void takeBack(long slot) {
+      reducer.cancelled(now(), id, slot);
     }
 
     @Override
@@ -614,6 +638,7 @@
     @Override
     void lost() {
       clients.remove(id);
+      byCancelKey.remove(cancelKey);
       shareDescriptors();
       heldInAll -= held;
       held = 0;
--- a/router/src/main/java/stoatrill/pg/Messages.java
+++ b/router/src/main/java/stoatrill/pg/Messages.java
@@ -21,14 +21,14 @@
     return message('I', new byte[0]);
   }
 
-  /** What a client gets once its startup message is accepted. */
-  static byte[] welcome() {
+  /** What a client gets once its startup message is accepted; the key is for its cancel requests. */
+  static byte[] welcome(long cancelKey) {
     return join(message('R', new byte[4]),
         message('S', strings("server_version", "15.0 (stoatrill)")),
         message('S', strings("server_encoding", "UTF8")),
         message('S', strings("client_encoding", "UTF8")),
         message('S', strings("standard_conforming_strings", "on")),
-        message('K', new byte[8]), readyForQuery());
+        message('K', ByteBuffer.allocate(8).putLong(cancelKey).array()), readyForQuery());
   }
 
   static byte[] startup(String user, String database) {
--- a/router/src/main/java/stoatrill/pg/PgClient.java
+++ b/router/src/main/java/stoatrill/pg/PgClient.java
@@ -81,6 +81,9 @@
     if (code == Messages.SSL_REQUEST || code == Messages.GSS_REQUEST) {
       peer.write(new byte[] {'N'});
     } else if (code == Messages.CANCEL_REQUEST) {
+      if (in.size() == 12) {
+        peer.cancel((long) in.int32(4) << 32 | in.int32(8) & 0xffffffffL);
+      }
       close(); // the protocol gives it no answer
     } else if (code >>> 16 != 3) {
       throw new PgException("0A000", "protocol version " + (code >>> 16) + " is not spoken");
@@ -90,7 +93,7 @@
       started = true;
       team = team();
       in.expect(true, LONGEST_QUERY);
-      peer.write(Messages.welcome());
+      peer.write(Messages.welcome(peer.cancelKey()));
     }
   }
 
@@ -207,6 +210,8 @@
     } else if (answer instanceof Answer.Refused refused) {
       body = Messages.error("ERROR", "53300", "no server has room, try again",
           refused.comeBackMillis() > 0 ? Long.toString(refused.comeBackMillis()) : null);
+    } else if (answer instanceof Answer.Cancelled) {
+      body = Messages.error("ERROR", "57014", "canceling statement due to user request", null);
     } else if (answer instanceof Answer.Failed failed) {
       body = Messages.error("ERROR", "58000", failed.why(), null);
     } else {
@@ -215,6 +220,16 @@
     return Messages.join(body, Messages.readyForQuery());
   }
 
+  @Override
+  public void cancel() {
+    for (Pending p : pending) {
+      if (p.answer == null && p.slot >= 0) {
+        peer.takeBack(p.slot);
+        return;
+      }
+    }
+  }
+
   @Override
   public void ready() {
     for (Pending p : pending) {
--- a/router/src/test/java/stoatrill/ServeScenarioTest.java
+++ b/router/src/test/java/stoatrill/ServeScenarioTest.java
@@ -50,6 +50,7 @@
   private final Map<String, Socket> clients = new HashMap<>();
   private final List<Socket> crowd = new ArrayList<>();
   private final Map<String, String> addresses = new HashMap<>();
+  private final Map<String, byte[]> cancelKeys = new HashMap<>();
   private Process router;
   private Path config;
   private String configText;
@@ -391,6 +392,33 @@
         """);
   }
 
+  @Test
+  void aCancelRequestEndsWhatItsConnectionWaitsForAndAWrongKeyChangesNothing() throws Exception {
+    play(CONNECTED + """
+        c send write 1
+        p expect write 1
+        thief send cancel nobody
+        thief expect end
+        d send startup
+        d expect ready
+        again send cancel d
+        again expect end
+        x send cancel c
+        x expect end
+        c expect error 57014
+        c send write 2
+        p expect write 2
+        p send row y
+        c expect row y
+        y send cancel c
+        y expect end
+        c send read 3
+        r1 expect read 3
+        r1 send row z
+        c expect row z
+        """);
+  }
+
   /** Stopped from before the listener's end until after it, with a connection in the backlog and a signal twice. */
   @Test
   void atSigtermConnectionsInTheBacklogAreTakenBeforeTheListenerEnds() throws Exception {
@@ -556,6 +584,8 @@
           write(client, all);
         }
         case "hex" -> write(client, java.util.HexFormat.of().parseHex(words.length > 1 ? words[1] : ""));
+        case "cancel" -> write(client, ByteBuffer.allocate(16).putInt(16).putInt(80877102)
+            .put(cancelKeys.getOrDefault(words[1], new byte[8])).array());
         case "query" -> write(client, query(words[1]));
         case "read" -> write(client, query(READ.formatted(words[1])));
         case "write" -> write(client, query(WRITE.formatted(words[1])));
@@ -623,6 +653,7 @@
       char type = (char) in.readByte();
       String body = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.ISO_8859_1);
       switch (type) {
+        case 'K' -> cancelKeys.put(actor, body.getBytes(StandardCharsets.ISO_8859_1));
         case 'I' -> said = "empty";
         case 'D' -> said = "row " + body.substring(6);
         case 'E' -> said = (body.startsWith("SFATAL") ? "fatal " : "error ")
--- a/router/src/test/java/stoatrill/core/ReducerScenarioTest.java
+++ b/router/src/test/java/stoatrill/core/ReducerScenarioTest.java
@@ -301,6 +301,25 @@
     play(40, keyed, repeat.formatted(193) + "c expect u refused\np expect nothing\n");
   }
 
+  @Test
+  void aRequestTakenBackEndsAtOnceAndAnUploadThatMayHaveRunNeverGoesAgain() throws Exception {
+    play(UPLOAD_AT_P + """
+        p send taken
+        c send archive a 500
+        r1 expect open
+        router send take back 0
+        c expect u cancelled
+        p expect close
+        router send take back 1
+        c expect a cancelled
+        r1 send up
+        r1 expect nothing
+        router send take back 0
+        c expect nothing
+        p expect nothing
+        """);
+  }
+
   @Test
   void aConnectionAtRestIsClosedBeforeTheServerMay() throws Exception {
     play(READ_AT_R1 + """
@@ -446,6 +465,7 @@
     if (actor.equals("router")) {
       switch (words[0]) {
         case "stall" -> now += Long.parseLong(words[1]) * MS; // the loop is late: no deadline is swept
+        case "take" -> reducer.cancelled(now, 1, Long.parseLong(words[2]));
         default -> reducer.failAll(now);
       }
       return;
