Give cold servers no more than warm ones answer here, also in overload

Cause: a router's part of a cold server's budget was what is asked of it by the number of servers listed (Decide.coldRoom). While few are listed and more is asked than all of them could bear, that is a multiple of what any warm server takes. Ruled out: restarted routers (their rate starts at 0) and the first random part of the bucket (under 1).

Now it is also at most what warm servers that were heard of in the last second answer here, each. Where there is none, what is asked counts on, so that a fleet of cold servers does not stay shut.

--- a/lab/src/test/java/stoatrill/lab/world/FleetBoundsTest.java
+++ b/lab/src/test/java/stoatrill/lab/world/FleetBoundsTest.java
@@ -27,7 +27,12 @@
 
   private static World play(int routers, String model, String troubles,
       BiFunction<Gateway, Policy.Sight, Gateway.Events> decisions) throws Exception {
-    World world = new World(WorldTest.plan(DAY + " routers " + routers + "\n" + model + "}\n" + troubles), 5, decisions);
+    return play(routers, model, troubles, decisions, 5);
+  }
+
+  private static World play(int routers, String model, String troubles,
+      BiFunction<Gateway, Policy.Sight, Gateway.Events> decisions, long seed) throws Exception {
+    World world = new World(WorldTest.plan(DAY + " routers " + routers + "\n" + model + "}\n" + troubles), seed, decisions);
     world.run();
     if (decisions == null) {
       assertEquals(Map.of(), world.audit().counts(), world.audit().first().toString());
@@ -101,6 +106,22 @@
   private static final String FRAIL = " cold-from 5%\n warm-after 18s\n tip-multiple 1.5\n";
   private static final String REPLACED = trouble("node-replace", "at 4s; for 7s; part 60%; extra 3s");
 
+  /**
+   * Nodes are replaced, primaries among them, while routers restart and then traffic jumps. Their budget is N calls;
+   * the rule puts 2 root of N + 2 more down to chance, and this asks for less than N.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {2, 5, 20, 30, 120})
+  void coldNodesBearTheSumOfAllRoutersWhileTheyRestartAndTrafficJumps(int routers) throws Exception {
+    String troubles = REPLACED + trouble("router-restart", "at 5s; for 1s; part 70%; size 100%; extra 500ms")
+        + trouble("jump", "at 8s; for 5s; size 2.4; extra 200ms");
+    for (long seed = 71; seed <= 73; seed++) {
+      double pressed = play(routers, FRAIL, troubles, null, seed).mostPressed();
+      System.out.printf("%d routers, seed %d: a cold node was sent %.2f of its budget%n", routers, seed, pressed);
+      assertTrue(pressed > 0 && pressed < 1, routers + " routers, seed " + seed + ": " + pressed);
+    }
+  }
+
   @Test
   void aModuleThatTakesColdNodesForWarmIsSeen() throws Exception {
     for (int routers : new int[] {3, 100}) {
--- a/router/src/main/java/stoatrill/Decide.java
+++ b/router/src/main/java/stoatrill/Decide.java
@@ -85,9 +85,9 @@
   private final Map<Long, Long> sessionWrites = new HashMap<>();
   private long sessionFloor = NONE;
   private final double[] tenantRoom;
-  private long now, tenantAt, rateAt, listCalledAt;
-  /** Requests to this gateway a second, as of {@code rateAt}; attempts saved up; how old reports are. */
-  private double rate, retryRoom = RETRY_MOST, reportAge = REPORT_AGE;
+  private long now, tenantAt, rateAt, warmRateAt, listCalledAt;
+  /** Requests a second, and answers of warm servers, as of a time; attempts saved up; how old reports are. */
+  private double rate, warmRate, retryRoom = RETRY_MOST, reportAge = REPORT_AGE;
   private boolean started, showsWaiting;
   /** Whether what the list brings next may have counted as told before: at a start, after a silent watch. */
   private boolean mayBeOld = true;
@@ -688,6 +688,10 @@
     switch (result) {
       case OK -> {
         answered(m);
+        if (!isCold(m)) {
+          warmRate = warmRate * Math.exp((warmRateAt - now) / SERVER_OVER) + 1e9 / SERVER_OVER;
+          warmRateAt = now;
+        }
         if (r != null) {
           double work = took / (1 + m.crowd); // the rest of the time it waited, which other terms count
           sample(m, r, work);
@@ -783,6 +787,10 @@
 
   // ---- Cold servers ----
 
+  private boolean isCold(Member m) {
+    return m.coldSince != NONE && now - m.coldSince < rules.warmAfter();
+  }
+
   private void cold(Member m, long since) {
     m.coldSince = since;
     m.coldAt = now;
@@ -792,16 +800,24 @@
   /**
    * Whether a server may take one more now. Guards rule 4: a cold one's budget grows as it warms. It belongs
    * to all gateways: each takes the part that its own traffic is, by chance where that is under one request.
-   * What is asked of the gateway counts, not what it sends: were all thought cold, they would stay shut.
+   * What is asked of the gateway counts, not what it sends: were all thought cold, they would stay shut. But
+   * no more than warm servers answer here, each: in overload more is asked than any of them could bear.
    */
   private boolean coldRoom(Member m) {
-    if (m.coldSince == NONE || now - m.coldSince >= rules.warmAfter()) {
+    if (!isCold(m)) {
       return true;
     }
-    double warm = Math.max(0, (double) (now - m.coldSince) / rules.warmAfter());
-    double part = rules.coldFrom() + (1 - rules.coldFrom()) * warm;
-    long sharing = Math.max(1, members.stream().filter(this::listed).count());
-    double mine = rate * Math.exp((rateAt - now) / SERVER_OVER) / sharing;
+    double warmed = Math.max(0, (double) (now - m.coldSince) / rules.warmAfter());
+    double part = rules.coldFrom() + (1 - rules.coldFrom()) * warmed;
+    int sharing = 0, warm = 0;
+    for (Member x : members) {
+      sharing += listed(x) ? 1 : 0;
+      warm += listed(x) && !isCold(x) && x.heardAt > now - LATELY ? 1 : 0;
+    }
+    double mine = rate * Math.exp((rateAt - now) / SERVER_OVER) / Math.max(1, sharing);
+    if (warm > 0) {
+      mine = Math.min(mine, warmRate * Math.exp((warmRateAt - now) / SERVER_OVER) / warm);
+    }
     double share = COLD_SHARE * rules.tipMultiple() * part * mine;
     double most = Math.max(1, share * rules.tipAfter() / 1e9 / 2);
     m.coldRoom = Math.min(Math.max(0, m.coldRoom) + share * (now - m.coldAt) / 1e9, most);
