--- a/router/src/main/java/stoatrill/config/Config.java
+++ b/router/src/main/java/stoatrill/config/Config.java
@@ -76,7 +76,7 @@
           Endpoint.parse(text(all, "discovery", environment.get("PROXY_DISCOVERY"), "")),
           all.has("discovery") ? Endpoint.parse(text(all, "discovery", null, "")) : null,
           seed(text(all, "seed", null, "0")),
-          limits.has("sockets") ? limits.get("sockets").getAsInt() : USUAL_SOCKETS,
+          sockets(limits.get("sockets")),
           all.has("known") ? all.get("known").toString() : null,
           setup.settings(), names(paths, "zones"), names(paths, "hostTypes"),
           whole(paths, "allowed.connIdle", 30_000_000_000L),
@@ -121,9 +121,27 @@
     return joined.isEmpty() ? List.of() : List.of(joined.split(","));
   }
 
-  private static long whole(Map<String, String> paths, String path, long otherwise) {
-    String text = paths.get(path);
-    return text == null ? otherwise : Long.parseLong(text);
+  private static long whole(Map<String, String> paths, String path, long otherwise) throws ConfigException {
+    String text = paths.getOrDefault(path, Long.toString(otherwise));
+    if (!text.matches("\\d{1,18}")) {
+      throw new ConfigException("settings: " + path + " is " + text + "; a whole number from 0 on is expected");
+    }
+    return Long.parseLong(text);
+  }
+
+  private static int sockets(JsonElement value) throws ConfigException {
+    if (value == null) {
+      return USUAL_SOCKETS;
+    }
+    try {
+      int sockets = value.getAsInt();
+      if (sockets > 0) {
+        return sockets;
+      }
+    } catch (NumberFormatException | IllegalStateException | UnsupportedOperationException e) {
+      // said below
+    }
+    throw new ConfigException("limits.sockets is " + value + "; a whole number from 1 on is expected");
   }
 
   /** Hexadecimal by custom; any other text is as good a source. */
--- a/router/src/main/java/stoatrill/wire/SettingsParser.java
+++ b/router/src/main/java/stoatrill/wire/SettingsParser.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 import stoatrill.Gateway.Check;
 import stoatrill.Gateway.Effect;
 import stoatrill.Gateway.Limits;
@@ -18,6 +19,8 @@
 
 /** Turns the settings' path=value lines into records. Keys that are not known are skipped. */
 public final class SettingsParser {
+  /** Attempts a request has room for: more would only cost memory, since each takes a server of its own. */
+  private static final long MOST_ATTEMPTS = 1024;
   private final Map<String, String> values;
 
   private SettingsParser(Map<String, String> values) {
@@ -56,7 +59,7 @@
       tenants.add(new Tenant(required(path + "name"), number(path + "allowancePerS")));
     }
     Limits limits = new Limits(yes("allowed.cancel"), yes("allowed.mayProbe"), yes("allowed.peers"),
-        yes("allowed.secondCopies"), yes("allowed.retryAfter"), (int) whole("allowed.maxAttempts"),
+        yes("allowed.secondCopies"), yes("allowed.retryAfter"), (int) Math.min(MOST_ATTEMPTS, positive("allowed.maxAttempts")),
         whole("allowed.maxRetryAfter"));
     Rules rules = new Rules(whole("rules.answerSlack"), optional("rules.askWithin", 0),
         whole("rules.drainGrace"), number("rules.coldFrom"), whole("rules.warmAfter"),
@@ -70,12 +73,12 @@
         word("familyInfo.showsRole", Map.of("off", ListedRole.NONE, "trailing", ListedRole.LATE,
             "static", ListedRole.AT_START)),
         word("report.how", Map.of("inline", true, "on_probe", false, "off", false)));
-    Settings settings = new Settings((int) whole("me"), (int) whole("replicasOfMe"), (int) whole("zone"),
-        whole("step"), word("discovery", Map.of("on_request", true, "pushed", false)),
+    Settings settings = new Settings((int) whole("me"), (int) positive("replicasOfMe"), (int) whole("zone"),
+        positive("step"), word("discovery", Map.of("on_request", true, "pushed", false)),
         number("overShareWorth"),
         limits, rules, replication, List.copyOf(classes), List.copyOf(tenants));
     String columns = values.getOrDefault("report.columns", "");
-    return new Setup(settings, optional("familyInfo.zero", 0),
+    return new Setup(settings, wholeOf("familyInfo.zero", values.getOrDefault("familyInfo.zero", "0"), Long.MIN_VALUE),
         columns.isEmpty() ? new String[0] : columns.split(","));
   }
 
@@ -84,13 +87,13 @@
     String[] levels = required("familyInfo.readLevel").split(",");
     String[] bounds = required("familyInfo.oldestData").split(",");
     if (n < 1 || levels.length < n || bounds.length < n) {
-      throw new MalformedInputException("settings: classes.count does not fit familyInfo.readLevel "
-          + "and oldestData");
+      throw new MalformedInputException("settings: classes.count is " + n + " where familyInfo.readLevel has "
+          + levels.length + " and familyInfo.oldestData " + bounds.length + " entries; one of each a class is expected");
     }
     List<RequestClass> classes = new ArrayList<>();
     for (int i = 0; i < n; i++) {
       String path = "classes." + i + ".";
-      classes.add(new RequestClass(required(path + "name"), whole(path + "aim"), whole(path + "giveUp"),
+      classes.add(new RequestClass(required(path + "name"), positive(path + "aim"), positive(path + "giveUp"),
           number(path + "gain"), number(path + "lateWorth"),
           word("familyInfo.readLevel", levels[i], Map.of("mutate", Need.WRITE, "strong", Need.FRESH,
               "causal", Need.SESSION, "lag_bound", Need.BOUNDED, "eventual", Need.ANY)),
@@ -107,7 +110,7 @@
   private String required(String key) throws MalformedInputException {
     String value = values.get(key);
     if (value == null) {
-      throw new MalformedInputException("settings: " + key + " is missing");
+      throw new MalformedInputException("settings: " + key + " is missing; a value is expected");
     }
     return value;
   }
@@ -126,20 +129,38 @@
   }
 
   private static long wholeOf(String key, String value) throws MalformedInputException {
+    return wholeOf(key, value, 0);
+  }
+
+  /** A whole number that is at least so much. */
+  private static long wholeOf(String key, String value, long least) throws MalformedInputException {
     try {
-      return Long.parseLong(value);
+      long number = Long.parseLong(value);
+      if (number >= least) {
+        return number;
+      }
     } catch (NumberFormatException e) {
-      throw new MalformedInputException("settings: " + key + " is not a whole number: " + value);
+      // said below
     }
+    throw new MalformedInputException("settings: " + key + " is " + value + "; a whole number from " + least
+        + " on is expected");
+  }
+
+  private long positive(String key) throws MalformedInputException {
+    return wholeOf(key, required(key), 1);
   }
 
   private double number(String key) throws MalformedInputException {
     String value = required(key);
     try {
-      return Double.parseDouble(value);
+      double number = Double.parseDouble(value);
+      if (number >= 0 && number < Double.POSITIVE_INFINITY) {
+        return number;
+      }
     } catch (NumberFormatException e) {
-      throw new MalformedInputException("settings: " + key + " is not a number: " + value);
+      // said below
     }
+    throw new MalformedInputException("settings: " + key + " is " + value + "; a number from 0 on is expected");
   }
 
   private boolean yes(String key) throws MalformedInputException {
@@ -153,7 +174,8 @@
   private static <T> T word(String key, String value, Map<String, T> words) throws MalformedInputException {
     T meaning = words.get(value);
     if (meaning == null) {
-      throw new MalformedInputException("settings: " + key + " has no such value: " + value);
+      throw new MalformedInputException("settings: " + key + " is " + value + "; one of " + new TreeSet<>(words.keySet())
+          + " is expected");
     }
     return meaning;
   }
--- a/router/src/test/java/stoatrill/ServeScenarioTest.java
+++ b/router/src/test/java/stoatrill/ServeScenarioTest.java
@@ -29,6 +29,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import stoatrill.scenario.Scenario;
 
 /**
@@ -56,6 +58,7 @@
   private String configText;
   private String configured = "list";
   private long signalled;
+  private int descriptors = 1024;
   private int port;
 
   private void play(String steps) throws Exception {
@@ -72,7 +75,8 @@
     configText = text;
     config = folder.resolve("config.json");
     configure("list");
-    ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+    ProcessBuilder start = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptors + "; exec \"$@\"", "sh",
+        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
         "-ea", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "stoatrill.Main", "serve");
     start.environment().keySet().removeIf(name -> name.startsWith("PROXY_"));
     start.environment().put("PROXY_CONFIG", config.toString());
@@ -446,6 +450,31 @@
         """);
   }
 
+  /** Idle clients hold all that they may: discovery, a server and a new client are reached, and no work is lost. */
+  @ParameterizedTest
+  @CsvSource({"64,64,''", "64,64,talking", "128,128,talking", "1024,1024,talking", "1024,64,''"})
+  void idleClientsUpToTheLimitOfDescriptorsKeepNobodyElseOut(int told, int had, String how) throws Exception {
+    descriptors = had;
+    play(text -> text.replace("\"sockets\": 128", "\"sockets\": " + told), CONNECTED + """
+        c send write 1
+        p expect write 1
+        list expect GET /v1/servers?from=5&hold_ms=WAIT
+        many send crowd %d %s
+        list close
+        list expect GET /v1/servers?from=5&hold_ms=WAIT
+        list send {"rev":6,"all":false,"targets":[]}
+        list expect GET /v1/servers?from=6&hold_ms=WAIT
+        d send startup
+        d expect ready
+        d send read 2
+        r1 expect read 2
+        r1 send row x
+        d expect row x
+        p send row y
+        c expect row y
+        """.formatted(had + 100, how));
+  }
+
   @Test
   void atSigtermWhatWasTakenIsAnsweredBeforeTheProcessEnds() throws Exception {
     play(CONNECTED + """
@@ -556,8 +585,13 @@
     } else {
       Socket client = clients.get(actor);
       if (words[0].equals("crowd")) { // many connections that say nothing
-        for (int n = Integer.parseInt(words[1]); n > 0; n--) {
+        String[] many = words[1].strip().split(" ");
+        for (int n = Integer.parseInt(many[0]); n > 0; n--) {
           crowd.add(new Socket(InetAddress.getLoopbackAddress(), port));
+          open.add(crowd.get(crowd.size() - 1));
+          if (many.length > 1) {
+            write(crowd.get(crowd.size() - 1), startup(), query(";"));
+          }
         }
         return;
       }
@@ -574,8 +608,7 @@
         clients.put(actor, client);
       }
       switch (words[0]) {
-        case "startup" -> write(client, ByteBuffer.allocate(32).putInt(32).putInt(196608)
-            .put("user\0svc\0database\0main\0\0".getBytes(StandardCharsets.UTF_8)).array());
+        case "startup" -> write(client, startup());
         case "flood" -> flood(client);
         case "many" -> {
           String[] many = words[1].split(" ", 2);
@@ -739,6 +772,11 @@
     }
   }
 
+  private static byte[] startup() {
+    return ByteBuffer.allocate(32).putInt(32).putInt(196608)
+        .put("user\0svc\0database\0main\0\0".getBytes(StandardCharsets.UTF_8)).array();
+  }
+
   private static byte[] query(String text) {
     return message('Q', (text + "\0").getBytes(StandardCharsets.UTF_8));
   }
--- a/router/src/test/java/stoatrill/cli/CommandsTest.java
+++ b/router/src/test/java/stoatrill/cli/CommandsTest.java
@@ -48,6 +48,6 @@
     assertEquals(1, run("check", Files.writeString(folder.resolve("b.json"), "{\"name\": \"x\"}").toString()));
     assertTrue(out.toString().contains("there is no such file"));
     assertTrue(out.toString().contains(broken + ":1:6: the block \"pool\" is not closed"));
-    assertTrue(out.toString().contains("b.json: settings: familyInfo.readLevel is missing"), out.toString());
+    assertTrue(out.toString().contains("b.json: settings: familyInfo.readLevel is missing; a value is expected"), out.toString());
   }
 }
--- a/router/src/test/java/stoatrill/wire/CodecTest.java
+++ b/router/src/test/java/stoatrill/wire/CodecTest.java
@@ -185,10 +185,10 @@
   @Test
   void aMissingOrMalformedSettingIsNamedAndAnUnknownOneSkipped() throws IOException {
     assertTrue(run(batch(create(SETTINGS))).length > 8);
-    assertEquals("settings: step is missing", refused(batch(create(SETTINGS.replace("step=5000000\n", "")))));
-    assertEquals("settings: step is not a whole number: soon",
+    assertEquals("settings: step is missing; a value is expected", refused(batch(create(SETTINGS.replace("step=5000000\n", "")))));
+    assertEquals("settings: step is soon; a whole number from 1 on is expected",
         refused(batch(create(SETTINGS.replace("step=5000000", "step=soon")))));
-    assertEquals("settings: discovery has no such value: guessed",
+    assertEquals("settings: discovery is guessed; one of [on_request, pushed] is expected",
         refused(batch(create(SETTINGS.replace("=on_request", "=guessed")))));
   }
 }
