Show with real routers that nothing follows a drain while discovery was away

The rig's discovery can go away and return, and the checker's clock for leaving nodes knows the term on failed calls.

With it: a client whose bytes are not read while all hold 6 MB is looked at again after 0.2 s; its ready key would have kept the loop turning.

--- a/lab/src/main/java/stoatrill/lab/rig/Checker.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Checker.java
@@ -17,7 +17,8 @@
  *       writes late, and no router can help that);
  *   <li><b>to leaving</b>: a request that a router sent to a node later than the grace of 2 s and
  *       {@value #LATE_MILLIS} ms after it counts as told that the node drains: at once on an open watch; for a watch
- *       that had fallen silent 6 s after that, or 2 s after its wait, whichever is later.
+ *       that had fallen silent 6 s after that, or 2 s after its wait, whichever is later; where discovery had been away, 6 s after it
+ *       had the change and could be reached.
  * </ul>
  *
  * It counts besides the requests that a close crossed and that the client sent once more.
@@ -109,9 +110,14 @@
   private static List<String> toLeaving(List<String> lines) {
     Map<String, Long> leaves = new HashMap<>();
     Map<String, long[]> silent = new HashMap<>();
+    long away = Long.MAX_VALUE;
+    long back = Long.MAX_VALUE;
     for (String line : lines) {
       String[] f = line.split("\t");
-      if (f[0].equals("leaves")) {
+      if (f[0].equals("fault") && f[3].equals("discovery") && !f[2].equals("silence")) {
+        away = f[2].equals("away") ? Long.parseLong(f[1]) : away;
+        back = f[2].equals("away") ? Long.MAX_VALUE : Long.parseLong(f[1]);
+      } else if (f[0].equals("leaves")) {
         leaves.putIfAbsent(f[2], Long.parseLong(f[1]));
       } else if (f[0].equals("silent")) {
         silent.put(f[2], new long[] {Long.parseLong(f[1]), Long.parseLong(f[3])});
@@ -124,6 +130,9 @@
         long shown = leaves.get(f[2]);
         long[] s = silent.get(f[3]);
         long told = s == null || s[0] > shown ? shown : Math.max(s[0] + 6 * SECOND, s[1] + 2 * SECOND);
+        if (away <= shown) {
+          told = back == Long.MAX_VALUE ? back - 2 * SECOND : Math.max(shown, back) + 6 * SECOND;
+        }
         long over = (Long.parseLong(f[1]) - told - 2 * SECOND) / 1_000_000L;
         if (over > LATE_MILLIS) {
           late.add(f[3] + " " + f[2] + " " + over);
--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -146,6 +146,12 @@
     deployment.lag(node, on ? STANDSTILL : 1);
   }
 
+  /** Every call to discovery fails from now on, open watches too, or is answered again. */
+  public void discoveryAway(boolean away) {
+    history.fault(away ? "away" : "back", "discovery");
+    deployment.discovery().down(away);
+  }
+
   /** All open watches fall silent; later calls to discovery are answered. Returns the last end of their waits, ns of the rig. */
   public long silence() {
     long last = 0;
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -508,6 +508,10 @@
     @Override
     void readable(ByteBuffer buffer) throws IOException {
       boolean more = held == 0 || heldInAll < MOST_HELD;
+      if (!more) {
+        interest(SelectionKey.OP_READ, false); // not looked at again before others have let go of some
+        deadlines.at(now() + LOOK_AT_CLIENTS, this::pace);
+      }
       for (int n = 0; more && n < READ_AHEAD / BUFFER && open(); n++) {
         more = read(buffer) && readsAhead();
       }
