--- a/router/src/main/java/stoatrill/Decide.java
+++ b/router/src/main/java/stoatrill/Decide.java
@@ -109,7 +109,7 @@
     /** Last heard of at all; at rest until; last set aside. */
     long heardAt = NONE, restUntil = NONE, restAt, fullUntil, probedAt = NONE, reportAt;
     long coldSince = NONE, coldAt;
-    double coldRoom;
+    double slowStartTokens;
   }
 
   private static final class Group {
@@ -231,7 +231,7 @@
     }
     if (r.kind.need() == Need.WRITE || r.kind.need() == Need.FRESH) {
       boolean ready = primary != null && reachable(primary) && primary.fullUntil <= now;
-      return ready && coldRoom(primary) ? primary : null;
+      return ready && slowStartAllows(primary) ? primary : null;
     }
     Member m = draw(r, true);
     if (m == null && askAbout(r, true)) {
@@ -243,7 +243,7 @@
     m = m == null && may && !busy(primary, r) ? primary : m;
     for (int i = 0; m == null && i < 2; i++) {
       for (Member x : r.group.members) { // all busy: the least so; all at rest: so is it no server's fault
-        may = i == 0 ? open(x, r) : listed(x) && fit(x, r) && coldRoom(x) && !usedBefore(r, x);
+        may = i == 0 ? open(x, r) : listed(x) && fit(x, r) && slowStartAllows(x) && !usedBefore(r, x);
         m = may && (m == null || expected(x, r) < expected(m, r)) ? x : m;
       }
     }
@@ -300,7 +300,7 @@
 
   private boolean open(Member m, Request r) {
     boolean mute = m.probing && now - m.probedAt >= PROBE_WAIT;
-    return listed(m) && !mute && !resting(m) && !usedBefore(r, m) && fit(m, r) && coldRoom(m);
+    return listed(m) && !mute && !resting(m) && !usedBefore(r, m) && fit(m, r) && slowStartAllows(m);
   }
 
   /** Draws among the fit, healthy replicas of the own zone, or of the others, against latency x in flight. */
@@ -358,7 +358,7 @@
       r.need = now - r.kind.bound();
     }
     m.inFlight++;
-    m.coldRoom--;
+    m.slowStartTokens--;
     out.send(r.id, m.id, 0);
     due(r, span(r, m));
   }
@@ -625,7 +625,7 @@
     }
     while (r != null && g.scoutNext < g.members.size()) {
       Member m = g.members.get(g.scoutNext++);
-      if (reachable(m) && listed(m) && coldRoom(m)) {
+      if (reachable(m) && listed(m) && slowStartAllows(m)) {
         g.scout = r;
         send(r, m);
         return;
@@ -794,7 +794,7 @@
   private void cold(Member m, long since) {
     m.coldSince = since;
     m.coldAt = now;
-    m.coldRoom = random.nextDouble();
+    m.slowStartTokens = random.nextDouble();
   }
 
   /**
@@ -803,7 +803,7 @@
    * What is asked of the gateway counts, not what it sends: were all thought cold, they would stay shut. But
    * no more than warm servers answer here, each: in overload more is asked than any of them could bear.
    */
-  private boolean coldRoom(Member m) {
+  private boolean slowStartAllows(Member m) {
     if (!isCold(m)) {
       return true;
     }
@@ -820,9 +820,9 @@
     }
     double share = COLD_SHARE * rules.tipMultiple() * part * mine;
     double most = Math.max(1, share * rules.tipAfter() / 1e9 / 2);
-    m.coldRoom = Math.min(Math.max(0, m.coldRoom) + share * (now - m.coldAt) / 1e9, most);
+    m.slowStartTokens = Math.min(Math.max(0, m.slowStartTokens) + share * (now - m.coldAt) / 1e9, most);
     m.coldAt = now;
-    return m.coldRoom >= 1;
+    return m.slowStartTokens >= 1;
   }
 
   // ---- List and probes ----
