Rule out floods of begun messages and answers cut off at any byte, by tests that stay

500 clients that each send half of a message of 128 KiB, in a heap of 64 MB: others are served, and a request under way is answered. An upload's answer cut off or reset after each of its bytes: 58000 and never sent again, and the value where the answer had come whole but for ReadyForQuery. Both over real connections; no change to the program.

--- a/router/src/test/java/stoatrill/ServeScenarioTest.java
+++ b/router/src/test/java/stoatrill/ServeScenarioTest.java
@@ -77,7 +77,8 @@
     configure("list");
     ProcessBuilder start = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptors + "; exec \"$@\"", "sh",
         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-        "-ea", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "stoatrill.Main", "serve");
+        "-ea", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-XX:+UseSerialGC", "-XX:MaxDirectMemorySize=8m", "-cp",
+        System.getProperty("java.class.path"), "stoatrill.Main", "serve");
     start.environment().keySet().removeIf(name -> name.startsWith("PROXY_"));
     start.environment().put("PROXY_CONFIG", config.toString());
     router = start.redirectErrorStream(true).start();
@@ -475,6 +476,41 @@
         """.formatted(had + 100, how));
   }
 
+  /** 500 clients each begin a message of 128 KiB and send half of it, in a heap as small as in service. */
+  @Test
+  void manyMessagesThatAreBegunAndNotEndedLeaveRoomForTheOthers() throws Exception {
+    play(text -> text.replace("\"sockets\": 128", "\"sockets\": 1024"), CONNECTED + """
+        c send write 1
+        p expect write 1
+        router send STOP
+        many send crowd 500 begun
+        router send CONT
+        d send startup
+        d expect ready
+        d send read 2
+        r1 expect read 2
+        r1 send row x
+        d expect row x
+        p send row y
+        c expect row y
+        """);
+  }
+
+  /** Whatever part of its answer has come when the connection ends, an upload may have run and is not sent again. */
+  @Test
+  void aWriteWhoseAnswerIsCutOffAtAnyByteIsNotSentAgain() throws Exception {
+    StringBuilder steps = new StringBuilder(CONNECTED);
+    int row = row("x").length;
+    int role = 5 + "server_role\0writer\0".length();
+    for (int n = 0; n < row + role + 6; n++) {
+      boolean whole = n == row || n == row + role;
+      steps.append("c send write ").append(n).append("\np expect write ").append(n).append("\np send part ").append(n)
+          .append("\nc expect ").append(whole ? "row x" : "error 58000").append("\nc send write ok").append(n)
+          .append("\np expect write ok").append(n).append("\np send row y\nc expect row y\n");
+    }
+    play(steps.toString());
+  }
+
   @Test
   void atSigtermWhatWasTakenIsAnsweredBeforeTheProcessEnds() throws Exception {
     play(CONNECTED + """
@@ -581,7 +617,20 @@
       byte[] body = words[0].equals("row") ? row(words[1])
           : message('E', ("SERROR\0C" + words[1] + "\0Mno\0\0").getBytes(StandardCharsets.UTF_8));
       String role = "server_role\0" + (actor.equals("p") ? "writer" : "reader") + "\0";
-      write(current.get(actor), body, message('S', role.getBytes(StandardCharsets.UTF_8)), message('Z', "I".getBytes()));
+      byte[] more = message('S', role.getBytes(StandardCharsets.UTF_8));
+      if (words[0].equals("part")) { // so many bytes of an answer, then the end, or where it is not whole a reset
+        byte[] all = ByteBuffer.allocate(row("x").length + more.length + 6).put(row("x")).put(more)
+            .put(message('Z', "I".getBytes())).array();
+        Socket server = current.get(actor);
+        int n = Integer.parseInt(words[1]);
+        server.getOutputStream().write(all, 0, n);
+        if (n % 2 == 1 && n != row("x").length && n != row("x").length + more.length) {
+          server.setSoLinger(true, 0);
+        }
+        server.close();
+        return;
+      }
+      write(current.get(actor), body, more, message('Z', "I".getBytes()));
     } else {
       Socket client = clients.get(actor);
       if (words[0].equals("crowd")) { // many connections that say nothing
@@ -590,7 +639,8 @@
           crowd.add(new Socket(InetAddress.getLoopbackAddress(), port));
           open.add(crowd.get(crowd.size() - 1));
           if (many.length > 1) {
-            write(crowd.get(crowd.size() - 1), startup(), query(";"));
+            write(crowd.get(crowd.size() - 1), startup(), many[1].equals("talking") ? query(";")
+                : ByteBuffer.allocate(64_000).put((byte) 'Q').putInt(128 << 10).array());
           }
         }
         return;
