--- a/router/src/test/java/stoatrill/ServeScenarioTest.java
+++ b/router/src/test/java/stoatrill/ServeScenarioTest.java
@@ -534,6 +534,23 @@
         """);
   }
 
+  /** 64 writes wait for a primary, more lie behind them, and half a message behind those, while a file is read anew. */
+  @Test
+  void atSigtermAPipelinedTailIsAnsweredInItsOrderAndHalfAMessageHoldsNothingUp() throws Exception {
+    play(text -> text.replace("writer", "reader").replace("\"mostHeld\": 5", "\"mostHeld\": 500"), CONNECTED + """
+        c send writes 90
+        c send hex 510000
+        r1 expect write *
+        router send HUP list2
+        router send TERM
+        c expect 64 errors 58000
+        c expect 26 errors 53300
+        router expect configuration read anew; discovery moves
+        router expect stopped; invariants broken: {}
+        c expect end
+        """);
+  }
+
   @Test
   void atSighupDiscoveryMovesAndWhatIsUnderWayGoesOnAndABadFileChangesNothing() throws Exception {
     play(CONNECTED + """
@@ -709,9 +726,9 @@
       assertEquals(-1, in.read());
     } else if (text.startsWith("byte ")) {
       assertEquals(text.charAt(5), in.read());
-    } else if (text.endsWith("errors 42601")) {
+    } else if (text.contains(" errors ")) {
       for (int n = Integer.parseInt(text.split(" ")[0]); n > 0; n--) {
-        assertEquals("error 42601", answer(actor, in));
+        assertEquals("error " + text.split(" ")[2], answer(actor, in));
       }
     } else {
       assertEquals(text, answer(actor, in));
