Keep a watch's wait under 20 s whatever the grace, and a drain after an outage's clock apart

A grace of a minute would have given waits of over the 60 s that discovery allows; nothing changes within the graces of 250 ms to 2 s. The rig's checker gave every drain after an outage the clock of the outage; now only those up to 6 s after it.

--- a/lab/src/main/java/stoatrill/lab/rig/Checker.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Checker.java
@@ -17,8 +17,8 @@
  *       writes late, and no router can help that);
  *   <li><b>to leaving</b>: a request that a router sent to a node later than the grace of 2 s and
  *       {@value #LATE_MILLIS} ms after it counts as told that the node drains: at once on an open watch; for a watch
- *       that had fallen silent 6 s after that, or 2 s after its wait, whichever is later; where discovery had been away, 6 s after it
- *       had the change and could be reached.
+ *       that had fallen silent 6 s after that, or 2 s after its wait, whichever is later; where discovery had
+ *       been away until then or shortly before, 6 s after it had the change and could be reached.
  * </ul>
  *
  * It counts besides the requests that a close crossed and that the client sent once more.
@@ -27,6 +27,8 @@
   /** The bound of 300 ms that clients' reads have, and 500 ms for a relay and a node that a busy machine holds up. */
   static final long STALE_MILLIS = 800;
   private static final long SECOND = 1_000_000_000L;
+  /** How long after discovery's return a router may still be without a call that was answered. */
+  private static final long NEXT_CALL = 6 * SECOND;
   /** What a busy machine may hold up discovery's answer, the router's write and the relay. */
   static final long LATE_MILLIS = 750;
 
@@ -130,7 +132,7 @@
         long shown = leaves.get(f[2]);
         long[] s = silent.get(f[3]);
         long told = s == null || s[0] > shown ? shown : Math.max(s[0] + 6 * SECOND, s[1] + 2 * SECOND);
-        if (away <= shown) {
+        if (away <= shown && (back == Long.MAX_VALUE || shown <= back + NEXT_CALL)) {
           told = back == Long.MAX_VALUE ? back - 2 * SECOND : Math.max(shown, back) + 6 * SECOND;
         }
         long over = (Long.parseLong(f[1]) - told - 2 * SECOND) / 1_000_000L;
--- a/lab/src/test/java/stoatrill/lab/rig/CheckerTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/CheckerTest.java
@@ -47,6 +47,14 @@
     assertFalse(v.clean());
   }
 
+  @Test
+  void whatDrainedWhileDiscoveryWasAwayCountsSixSecondsAfterItsReturnAndLaterDrainsAtOnce() {
+    Checker.Verdict v = Checker.check(List.of("fault\t1000000000\taway\tdiscovery", "leaves\t2000000000\tnode1",
+        "fault\t3000000000\tback\tdiscovery", "sent\t11700000000\tnode1\trouter0", "sent\t11800000000\tnode1\trouter1",
+        "leaves\t30000000000\tnode2", "sent\t32700000000\tnode2\trouter0", "sent\t32800000000\tnode2\trouter0"));
+    assertEquals(List.of("router1 node1 800", "router0 node2 800"), v.toLeaving());
+  }
+
   @Test
   void whatIsSentToALeavingNodeAfterTheGraceIsNamedByTheClockOfEachRoutersWatch() {
     List<String> lines = List.of("silent\t1000000000\trouter1\t11000000000", "silent\t1000000000\trouter2\t2000000000",
--- a/router/src/main/java/stoatrill/discovery/DiscoveryClient.java
+++ b/router/src/main/java/stoatrill/discovery/DiscoveryClient.java
@@ -31,6 +31,8 @@
     /** An answer that has begun comes whole within this, or the next call would come too late. */
     private static final long WHOLE = 1_000 * MILLI;
     private static final long MOST_LATE = 500 * MILLI;
+    /** Discovery lets a call wait for 60 s at most; a watch that long would tell nothing of a lost connection. */
+    private static final long MOST_HOLD = 20_000 * MILLI;
     /** Kept free for what a send waits for its connection, and for the clocks. */
     private static final long SPARE = 250 * MILLI;
 
@@ -46,7 +48,7 @@
     public static Timing of(Settings settings, long seed) {
       long grace = settings.rules().drainGrace();
       long late = Math.min(MOST_LATE, grace);
-      long hold = MISSED_COUNTS + grace - late - SPARE - (settings.asked() ? LONGEST_QUEUE : grace);
+      long hold = Math.min(MOST_HOLD, MISSED_COUNTS + grace - late - SPARE - (settings.asked() ? LONGEST_QUEUE : grace));
       return new Timing(!settings.asked(), hold, late, settings.asked() ? TURN : Math.min(TURN, grace / 2),
           seed + settings.me()); // seeds may all be the same
     }
--- a/router/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
+++ b/router/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
@@ -152,6 +152,19 @@
     }
   }
 
+  /** At the graces of the protocol's pages, at none, and at one of a minute. */
+  @Test
+  void waitsFitInTheGraceThatTheSettingsGiveAndNeverPassTwentySeconds() throws Exception {
+    for (boolean pushed : new boolean[] {false, true}) {
+      for (long[] row : new long[][] {{0, 3_750, 5_750}, {250, 3_750, 5_500}, {2_000, 5_250, 5_250}, {60_000, 20_000, 5_250}}) {
+        String text = Scenario.config().replace("\"drainGrace\": 2000000000", "\"drainGrace\": " + row[0] * MS);
+        Timing timing = Timing.of(stoatrill.config.Config.parse(pushed ? text.replace("on_request", "pushed") : text,
+            java.util.Map.of()).settings(), 1);
+        assertEquals(row[pushed ? 2 : 1] * MS, timing.hold(), "grace " + row[0] + (pushed ? " pushed" : " asked"));
+      }
+    }
+  }
+
   @Test
   void listsOfThousandsAreTakenWholeAndIndentedAndInPiecesAndOneTooLongLeavesWhatIsHeld() throws Exception {
     for (int servers : new int[] {1_024, 8_192}) {
