Make system calls of real routers fail in the rig, and let the rig tell of ends and errors

A library preloaded into a router makes a share of its calls fail as Linux documents.

The rig tells the truth: a router that ends by itself and a line of its log that tells of an error are verdicts. A stand-in counts an upload that ran after its connection had closed. A client does not send an upload again whose router was killed meanwhile: the platform's clients repeat only what a close between requests crossed.

--- a/lab/src/main/java/stoatrill/lab/rig/Checker.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Checker.java
@@ -19,7 +19,9 @@
  *   <li><b>to leaving</b>: a request that a router sent to a node later than the grace of 2 s and
  *       {@value #LATE_MILLIS} ms after it counts as told that the node drains: at once on an open watch; for a watch
  *       that had fallen silent 6 s after that, or 2 s after its wait, whichever is later; where discovery had
- *       been away until then or shortly before, 6 s after it had the change and could be reached.
+ *       been away until then or shortly before, 6 s after it had the change and could be reached;
+ *   <li><b>ended by itself</b>: a router's process that ended though nothing had ended it;
+ *   <li><b>logged</b>: a line of a router's log that tells of an error or an exception nobody caught.
  * </ul>
  *
  * It counts besides the requests that a close crossed and that the client sent once more.
@@ -47,9 +49,16 @@
             List<String> noFinalAnswer,
             List<String> ranTwice,
             List<String> stale,
-            List<String> toLeaving) {
+            List<String> toLeaving,
+            List<String> endedByItself,
+            List<String> logged) {
         public boolean clean() {
-            return noFinalAnswer.isEmpty() && ranTwice.isEmpty() && stale.isEmpty() && toLeaving.isEmpty();
+            return noFinalAnswer.isEmpty()
+                    && ranTwice.isEmpty()
+                    && stale.isEmpty()
+                    && toLeaving.isEmpty()
+                    && endedByItself.isEmpty()
+                    && logged.isEmpty();
         }
     }
 
@@ -79,6 +88,8 @@
         List<String> none = new ArrayList<>();
         List<String> twice = new ArrayList<>();
         List<String> stale = new ArrayList<>();
+        List<String> ended = new ArrayList<>();
+        List<String> logged = new ArrayList<>();
         for (String line : lines) {
             String[] f = line.split("\t", -1);
             switch (f[0]) {
@@ -94,8 +105,8 @@
                         errors++;
                     } else {
                         long sent = Long.parseLong(f[4]);
-                        long ended = Long.parseLong(f[5]);
-                        if (kills.getOrDefault(f[3], List.of()).stream().anyMatch(at -> at >= sent && at <= ended)) {
+                        long over = Long.parseLong(f[5]);
+                        if (kills.getOrDefault(f[3], List.of()).stream().anyMatch(at -> at >= sent && at <= over)) {
                             excused++;
                         } else {
                             none.add(f[1]);
@@ -113,6 +124,8 @@
                         stale.add(f[1]);
                     }
                 }
+                case "ended" -> ended.add(f[2] + " status " + f[3]);
+                case "logged" -> logged.add(f[1] + " " + f[2]);
                 default -> {}
             }
         }
@@ -126,7 +139,9 @@
                 List.copyOf(none),
                 List.copyOf(twice),
                 List.copyOf(stale),
-                toLeaving(lines));
+                toLeaving(lines),
+                List.copyOf(ended),
+                List.copyOf(logged));
     }
 
     /** What was sent to leaving nodes too late, as {@code ROUTER NODE MILLIS-AFTER-THE-GRACE}. */
--- a/lab/src/main/java/stoatrill/lab/rig/Clients.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Clients.java
@@ -23,6 +23,8 @@
 final class Clients implements AutoCloseable {
     private static final int KEYS = 1000;
     private static final int TIMEOUT_SECONDS = 6;
+    /** The share of requests after which a client closes its connection and opens another. */
+    private static final double RECONNECTS = 0.1;
 
     /** A router that clients may use: its name and port. */
     record Door(String name, int port) {}
@@ -61,6 +63,9 @@
             if (connect(line, random)) {
                 ask(line, random);
             }
+            if (random.nextDouble() < RECONNECTS) {
+                close(line);
+            }
         }
         close(line);
     }
@@ -107,7 +112,7 @@
         String outcome = "none";
         int tries = 0;
         String router = line.door.name();
-        while (tries < 2 && (tries == 0 || resend(line, random, router))) {
+        while (tries < 2 && (tries == 0 || (mayResend(upload, router, sent) && resend(line, random, router)))) {
             tries++;
             router = line.door.name();
             try (Statement s = line.connection.createStatement();
@@ -136,6 +141,14 @@
         history.op(id, upload ? "upload" : "read", line.door.name(), sent, history.now(), outcome, tries);
     }
 
+    /**
+     * Whether a request that a close crossed may be sent once more. An upload at a router that was killed may have run:
+     * the platform's clients repeat only what a close between requests crossed, which a kill is not.
+     */
+    private boolean mayResend(boolean upload, String router, long sent) {
+        return !upload || !history.killedSince(router, sent);
+    }
+
     /**
      * Connects for the one repeat of a request that a close crossed, to another router than the one that closed,
      * trying each that is up at most once; false if none could be reached.
--- a/lab/src/main/java/stoatrill/lab/rig/History.java
+++ b/lab/src/main/java/stoatrill/lab/rig/History.java
@@ -1,6 +1,7 @@
 package stoatrill.lab.rig;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -18,6 +19,8 @@
  * leaves AT  NODE                                  discovery shows from then on that the node drains
  * silent AT  ROUTER  UNTIL                         the router's watch fell silent; its wait would have ended then
  * age    ID  MILLIS                                how old a node's data was when this bounded read came to it
+ * ended  AT  ROUTER  STATUS                        a router's process ended though nothing had ended it
+ * logged ROUTER  LINE                              a line of a router's log that tells of an error or an exception
  * </pre>
  *
  * OUTCOME is {@code ok}, {@code refused} (SQLSTATE 53300 or 57P01: turned away),
@@ -27,6 +30,7 @@
 public final class History {
     private final List<String> lines = new ArrayList<>();
     private final long start = System.nanoTime();
+    private final Map<String, Long> kills = new HashMap<>();
     private long ops;
 
     /** Nanoseconds since the rig began. */
@@ -50,6 +54,9 @@
     }
 
     public synchronized void fault(String what, String target) {
+        if (what.equals("kill")) {
+            kills.put(target, now());
+        }
         lines.add(String.join("\t", "fault", Long.toString(now()), what, target));
     }
 
@@ -87,6 +94,21 @@
         return List.copyOf(lines);
     }
 
+    /** Whether a router was killed at that time (ns of the rig) or later. */
+    public synchronized boolean killedSince(String router, long since) {
+        return kills.getOrDefault(router, Long.MIN_VALUE) >= since;
+    }
+
+    /** A router's process has ended though nothing had ended it. */
+    public synchronized void endedByItself(String router, int status) {
+        lines.add(String.join("\t", "ended", Long.toString(now()), router, Integer.toString(status)));
+    }
+
+    /** A router's log has a line that tells of an error or an exception. */
+    public synchronized void logged(String router, String line) {
+        lines.add(String.join("\t", "logged", router, line.replace('\t', ' ')));
+    }
+
     /** How many requests have ended so far. */
     public synchronized long ops() {
         return ops;
--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -5,8 +5,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 import stoatrill.standins.net.Deployment;
 
 /**
@@ -20,6 +22,10 @@
  */
 public final class Rig implements AutoCloseable {
     private static final double STANDSTILL = 10_000; // times the usual: 20 s for one write of the log
+    /** What a line of a log has that tells of an error, of an exception nobody caught, or of a failed start. */
+    private static final Pattern TROUBLE =
+            Pattern.compile("\\bERROR\\b|Exception in thread|^stoatrill: |invariants broken: \\{[^}]");
+
     private static final long NOTICE = 200_000_000L;
 
     private final RunLine run;
@@ -27,9 +33,14 @@
     private final Deployment deployment;
     private final List<Relay> relays = new ArrayList<>();
     private final List<RouterProc> routers = new ArrayList<>();
+    /** Every router process that was started, also those that were replaced; guarded by this. */
+    private final List<RouterProc> started = new ArrayList<>();
+
     private final History history = new History();
     private final Thread hook = new Thread(this::killAll, "rig-hook");
     private final Watchdog watchdog;
+    private final CallFaultLibrary library;
+    private final Map<Integer, CallFaults> callFaults = new HashMap<>();
     private Clients clients;
 
     /**
@@ -42,7 +53,16 @@
 
     /** As {@link #Rig(int, int, Path)}, with routers started by {@code run}: a test's variant of the program. */
     public Rig(RunLine run, int routers, int nodes, Path dir) throws IOException {
+        this(run, routers, nodes, dir, null);
+    }
+
+    /**
+     * As {@link #Rig(RunLine, int, int, Path)}, with routers whose system calls can be made to fail through {@code
+     * library}; null for none.
+     */
+    public Rig(RunLine run, int routers, int nodes, Path dir, CallFaultLibrary library) throws IOException {
         this.run = run;
+        this.library = library;
         this.dir = dir;
         this.watchdog = new Watchdog();
         Runtime.getRuntime().addShutdownHook(hook);
@@ -84,11 +104,45 @@
                 deployment.config(name, i % 2 == 0 ? "mona" : "papine", "127.0.0.1:0"),
                 StandardCharsets.UTF_8);
         Path log = dir.resolve(name + "." + System.nanoTime() + ".log");
-        RouterProc r = new RouterProc(run, name, config, log, watchdog::started);
-        r.onEnd(() -> watchdog.ended(r.pid()));
+        RouterProc r = new RouterProc(run, name, config, log, variables(i), watchdog::started);
+        synchronized (this) {
+            started.add(r);
+        }
+        r.onEnd(() -> {
+            watchdog.ended(r.pid());
+            if (!r.ending()) {
+                history.endedByItself(name, r.exitStatus());
+            }
+        });
         return r;
     }
 
+    private Map<String, String> variables(int router) throws IOException {
+        return library == null ? Map.of() : calls(router).environment(library);
+    }
+
+    /** The faults of the system calls of router {@code i}, which outlast its restarts; the rig has a library for them. */
+    public synchronized CallFaults calls(int i) throws IOException {
+        CallFaults faults = callFaults.get(i);
+        if (faults == null) {
+            faults = new CallFaults(dir.resolve("router" + i + ".calls"), i + 1L);
+            callFaults.put(i, faults);
+        }
+        return faults;
+    }
+
+    /** Makes a share of a kind of system calls of router {@code i} fail, each with one of these errors. */
+    public void failCalls(int i, SystemCall call, double share, List<Errno> errors) throws IOException {
+        history.fault("fail " + call + errors + " " + share, "router" + i);
+        calls(i).fail(call, share, errors);
+    }
+
+    /** Lets the system calls of router {@code i} succeed again. */
+    public void healCalls(int i, SystemCall call) throws IOException {
+        calls(i).heal(call);
+        history.fault("heal " + call, "router" + i);
+    }
+
     /** Starts {@code count} clients that send {@code uploads} of their requests as uploads (0 to 1). */
     public void clients(int count, double uploads) {
         clients = new Clients(count, uploads, this::doors, history);
@@ -126,6 +180,7 @@
     /** Kills router {@code i} by SIGKILL and waits until it has ended. */
     public void kill(int i) throws IOException, InterruptedException {
         history.fault("kill", routers.get(i).name());
+        routers.get(i).ending(true);
         routers.get(i).signal("KILL");
         routers.get(i).awaitEnd(Long.MAX_VALUE);
     }
@@ -133,6 +188,7 @@
     /** Ends router {@code i} by SIGTERM and waits until it has ended; it owes every request an answer. */
     public void term(int i) throws IOException, InterruptedException {
         history.fault("term", routers.get(i).name());
+        routers.get(i).ending(true);
         routers.get(i).signal("TERM");
         routers.get(i).awaitEnd(Long.MAX_VALUE);
     }
@@ -211,6 +267,13 @@
         }
         history.ran(deployment.ran());
         history.ages(deployment.ages());
+        synchronized (this) {
+            for (RouterProc r : started) {
+                r.logLines().stream()
+                        .filter(line -> TROUBLE.matcher(line).find())
+                        .forEach(line -> history.logged(r.name(), line));
+            }
+        }
         return history.lines();
     }
 
@@ -268,6 +331,7 @@
         if (clients != null) {
             clients.close();
         }
+        routers.forEach(r -> r.ending(true));
         routers.parallelStream().forEach(RouterProc::close);
         watchdog.close();
         relays.forEach(Relay::close);
--- a/lab/src/main/java/stoatrill/lab/rig/RouterProc.java
+++ b/lab/src/main/java/stoatrill/lab/rig/RouterProc.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -31,17 +32,19 @@
 
     /** Starts the router with the configuration in the file {@code config}; its output goes to {@code log}. */
     public RouterProc(RunLine run, String name, Path config, Path log) throws IOException {
-        this(run, name, config, log, pid -> {});
+        this(run, name, config, log, Map.of(), pid -> {});
     }
 
     /**
      * Starts the router once {@code started} knows its process id: its shell waits for a line, and ends if this JVM is
-     * killed before. So no router is left running that nobody knows of.
+     * killed before. So no router is left running that nobody knows of. {@code variables} are added to its environment.
      */
-    RouterProc(RunLine run, String name, Path config, Path log, Started started) throws IOException {
+    RouterProc(RunLine run, String name, Path config, Path log, Map<String, String> variables, Started started)
+            throws IOException {
         this.name = name;
         this.log = log;
         ProcessBuilder builder = run.afterALine().redirectErrorStream(true).redirectOutput(log.toFile());
+        builder.environment().putAll(variables);
         builder.environment().put("PROXY_CONFIG", config.toString());
         for (String variable : List.of("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY")) {
             builder.environment().remove(variable);
@@ -102,6 +105,16 @@
         ending = told;
     }
 
+    /** What it has written to its log so far. */
+    List<String> logLines() throws IOException {
+        return Files.readAllLines(log, StandardCharsets.ISO_8859_1);
+    }
+
+    /** The status that its process ended with; it has ended. */
+    int exitStatus() {
+        return process.exitValue();
+    }
+
     /** Whether its process runs. */
     public boolean alive() {
         return process.isAlive();
--- a/standins/src/main/java/stoatrill/standins/net/PgNode.java
+++ b/standins/src/main/java/stoatrill/standins/net/PgNode.java
@@ -310,15 +310,22 @@
             boolean bounded = "recent-read".equals(comment.get("c"));
             busy = true;
             node.submit(write, takes, time.now() + wait, (outcome, note) -> {
+                String id = comment.get("id");
+                if (write && outcome == Node.Outcome.OK) {
+                    records.put(key, note.position(), value(literals.get(1)));
+                    if (id != null) {
+                        records.ran(id); // it ran, whether or not anybody is left to be told
+                    }
+                }
                 if (ended) {
                     return;
                 }
                 busy = false;
                 try {
-                    if (outcome == Node.Outcome.OK && bounded && comment.containsKey("id")) {
-                        records.read(comment.get("id"), age);
+                    if (outcome == Node.Outcome.OK && bounded && id != null) {
+                        records.read(id, age);
                     }
-                    answer(outcome, note, write, key, write ? value(literals.get(1)) : null, comment.get("id"));
+                    answer(outcome, note, write, key, write ? value(literals.get(1)) : null);
                     if (!parsing) { // else the reply came at once, and the loop that asked goes on
                         parse();
                         flush();
@@ -329,16 +336,9 @@
             });
         }
 
-        private void answer(
-                Node.Outcome outcome, Node.Note note, boolean write, String key, byte[] written, String id) {
+        private void answer(Node.Outcome outcome, Node.Note note, boolean write, String key, byte[] written) {
             switch (outcome) {
                 case OK -> {
-                    if (write) {
-                        records.put(key, note.position(), written);
-                        if (id != null) {
-                            records.ran(id);
-                        }
-                    }
                     row(write ? written : records.get(key, note.position()), 17, 1);
                     complete(write ? "INSERT 0 1" : "SELECT 1");
                 }
