Make every socket call at one edge that tells a failed call from an end

Link.read took every negative count for the end of the stream, and an interrupted read gives -3; Link.flush took it off what was queued; any exception of a call ended its connection; an exception of select, accept or a turn, and any Error, ended the loop; a registration that the kernel refused was never noticed.

Change: stoatrill.io makes the calls. Their results are a closed type, switched over without a default. A call that fails is made again at once a few times and, for 2 s, in later turns; only a peer that is really gone makes the repeats fail. Registrations are confirmed by the room to write that there nearly always is, and made again where that does not show. A failed event ends at most its own connection, with its answers. Before the listener or a resting client is ended at SIGTERM, five looks in a row must find nothing. One refused descriptor is no limit, four in a row are.

--- /dev/null
+++ b/router/src/main/java/stoatrill/io/IoResult.java
@@ -0,0 +1,22 @@
+package stoatrill.io;
+
+/**
+ * What a call on a connection came to.
+ *
+ * @param bytes how many were transferred; above 0 for progress of a read or write, else 0
+ * @param why what the system said of a failure; empty without one
+ */
+public record IoResult(Outcome outcome, int bytes, String why) {
+    static final IoResult DONE = new IoResult(Outcome.PROGRESS, 0, "");
+    static final IoResult NOTHING_NOW = new IoResult(Outcome.NOTHING_NOW, 0, "");
+    static final IoResult END_OF_STREAM = new IoResult(Outcome.END_OF_STREAM, 0, "");
+    static final IoResult INTERRUPTED = new IoResult(Outcome.NO_RESOURCE, 0, "interrupted");
+
+    static IoResult progress(int bytes) {
+        return new IoResult(Outcome.PROGRESS, bytes, "");
+    }
+
+    static IoResult failed(Outcome outcome, Throwable cause) {
+        return new IoResult(outcome, 0, String.valueOf(cause.getMessage()));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/stoatrill/io/PlatformCalls.java
@@ -0,0 +1,83 @@
+package stoatrill.io;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** The system calls as the platform's library makes them. */
+final class PlatformCalls implements SystemCalls {
+
+    @Override
+    public int read(SocketChannel channel, ByteBuffer into) throws IOException {
+        return channel.read(into);
+    }
+
+    @Override
+    public int write(SocketChannel channel, ByteBuffer from) throws IOException {
+        return channel.write(from);
+    }
+
+    @Override
+    public SocketChannel accept(ServerSocketChannel listener) throws IOException {
+        return listener.accept();
+    }
+
+    @Override
+    public SocketChannel open() throws IOException {
+        return SocketChannel.open();
+    }
+
+    @Override
+    public void neverBlock(SocketChannel channel) throws IOException {
+        channel.configureBlocking(false);
+    }
+
+    @Override
+    public void sendAtOnce(SocketChannel channel) throws IOException {
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    }
+
+    @Override
+    public boolean connect(SocketChannel channel, InetSocketAddress to) throws IOException {
+        return channel.connect(to);
+    }
+
+    @Override
+    public boolean finishConnect(SocketChannel channel) throws IOException {
+        return channel.finishConnect();
+    }
+
+    @Override
+    public void endSending(SocketChannel channel) throws IOException {
+        channel.shutdownOutput();
+    }
+
+    @Override
+    public void close(SocketChannel channel) throws IOException {
+        channel.close();
+    }
+
+    @Override
+    public int select(Selector selector, long millis) throws IOException {
+        return millis > 0 ? selector.select(millis) : selector.selectNow();
+    }
+
+    @Override
+    public byte[] readFile(Path file) throws IOException {
+        return Files.readAllBytes(file);
+    }
+
+    @Override
+    public byte[] readFirst(Path file, int bytes) throws IOException {
+        try (InputStream in = Files.newInputStream(file)) {
+            return in.readNBytes(bytes);
+        }
+    }
+}
--- a/router/src/main/java/stoatrill/net/ClientProtocol.java
+++ b/router/src/main/java/stoatrill/net/ClientProtocol.java
@@ -77,6 +77,9 @@
     /** Turns the client away for want of room. */
     void turnAway();
 
+    /** Ends the conversation because handling it has failed: what still waits for its answer gets an error at once. */
+    void abandon();
+
     /** Ends the conversation because the rest of what was begun has not come, or is too much to be kept. */
     void expire();
 }
--- a/router/src/main/java/stoatrill/net/Link.java
+++ b/router/src/main/java/stoatrill/net/Link.java
@@ -1,28 +1,38 @@
 package stoatrill.net;
 
-import java.io.IOException;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
-import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import stoatrill.core.Deadlines.Deadline;
+import stoatrill.io.Connection;
+import stoatrill.io.IoResult;
 
 /** One non-blocking connection with what is still to be written to it. */
 abstract class Link {
+    /**
+     * After so long what could not be written is tried again, though the selector has not told of room; twice as long
+     * each time. Guards against a change of interest that the system has refused without a word.
+     */
+    private static final long FIRST_RETRY = 10_000_000L;
+
+    private static final long LONGEST_RETRY = 640_000_000L;
+
     private final EventLoop loop;
-    private final SocketChannel channel;
-    private final SelectionKey key;
     private final ArrayDeque<ByteBuffer> outbound = new ArrayDeque<>();
+    private Connection connection;
     private long queued;
     private boolean open = true;
     private boolean endedInOrder;
+    private Deadline retry;
+    private long retryAfter = FIRST_RETRY;
 
-    Link(EventLoop loop, SocketChannel channel, int interest) throws IOException {
+    Link(EventLoop loop) {
         this.loop = loop;
-        this.channel = channel;
-        channel.configureBlocking(false);
-        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-        this.key = channel.register(loop.selector(), interest, this);
+    }
+
+    /** The connection that this is the owner of; comes before anything else. */
+    void use(Connection connection) {
+        this.connection = connection;
     }
 
     /** Bytes were read; all of them are to be taken. */
@@ -37,6 +47,14 @@
     /** Some of it is out. */
     void partlyFlushed() {}
 
+    /**
+     * Whether what was kept for want of room may still be written: asked again at the moment of the write. If not, the
+     * connection is ended by whoever says so.
+     */
+    boolean mayWriteLate() {
+        return true;
+    }
+
     /** The other side has ended or broken the connection; it is closed already. */
     abstract void lost();
 
@@ -53,8 +71,8 @@
         return queued;
     }
 
-    SocketChannel channel() {
-        return channel;
+    Connection connection() {
+        return connection;
     }
 
     /** Writes what the socket takes and keeps the rest; {@link #flushed} follows once all is out. */
@@ -64,36 +82,69 @@
         }
         outbound.add(ByteBuffer.wrap(bytes));
         queued += bytes.length;
-        try {
-            if (flush()) {
-                flushed();
-            }
-        } catch (IOException e) {
-            loop.later(this::fail); // not from within whoever writes
+        if (flush()) {
+            flushed();
         }
     }
 
-    private boolean flush() throws IOException {
+    /** Writes what the socket takes; true once nothing is left. */
+    private boolean flush() {
         while (!outbound.isEmpty()) {
             ByteBuffer first = outbound.peek();
-            queued -= channel.write(first);
-            if (first.hasRemaining()) {
-                interest(SelectionKey.OP_WRITE, true);
+            IoResult result = connection.write(first);
+            queued -= result.bytes();
+            boolean goesOn =
+                    switch (result.outcome()) {
+                        case PROGRESS -> true;
+                        case NOTHING_NOW -> false;
+                        case NO_RESOURCE -> {
+                            loop.lacksResource();
+                            yield false;
+                        }
+                        case BROKEN, FATAL, END_OF_STREAM -> {
+                            loop.count("closed", "write failed");
+                            loop.later(this::fail); // not from within whoever writes
+                            yield false;
+                        }
+                    };
+            if (!goesOn) {
+                connection.interest(SelectionKey.OP_WRITE, true);
+                retryLater();
                 return false;
             }
-            outbound.poll();
+            retryAfter = FIRST_RETRY;
+            if (!first.hasRemaining()) {
+                outbound.poll();
+            }
         }
-        interest(SelectionKey.OP_WRITE, false);
+        connection.interest(SelectionKey.OP_WRITE, false);
         return true;
     }
 
-    void interest(int operation, boolean on) {
-        if (key.isValid()) {
-            int ops = on ? key.interestOps() | operation : key.interestOps() & ~operation;
-            if (ops != key.interestOps()) {
-                key.interestOps(ops);
-            }
+    private void retryLater() {
+        if (retry == null) {
+            retry = loop.after(retryAfter, () -> {
+                retry = null;
+                retryAfter = Math.min(LONGEST_RETRY, 2 * retryAfter);
+                loop.guarded(this, this::writable);
+            });
+        }
+    }
+
+    /** There may be room for what was kept. */
+    private void writable() {
+        if (!open || outbound.isEmpty() || !mayWriteLate()) {
+            return;
         }
+        if (flush()) {
+            flushed();
+        } else {
+            partlyFlushed();
+        }
+    }
+
+    void interest(int operation, boolean on) {
+        connection.interest(operation, on);
     }
 
     /** The connection has come up: from now on it is read. */
@@ -107,53 +158,69 @@
 
     /** Does what the selector found possible. */
     void handle(ByteBuffer buffer) {
-        try {
-            if (key.isValid() && key.isConnectable() && channel.finishConnect()) {
-                up();
-            }
-            if (key.isValid() && key.isWritable() && !outbound.isEmpty()) {
-                if (flush()) {
-                    flushed();
-                } else {
-                    partlyFlushed();
-                }
+        connection.found();
+        if (connection.isConnectable()) {
+            IoResult result = connection.finishConnect();
+            switch (result.outcome()) {
+                case PROGRESS -> up();
+                case NOTHING_NOW, NO_RESOURCE -> {}
+                case BROKEN, FATAL, END_OF_STREAM -> fail();
             }
-            if (key.isValid() && key.isReadable()) {
-                readable(buffer);
-            }
-        } catch (IOException e) {
-            fail();
+        }
+        if (connection.isWritable()) {
+            writable();
+        }
+        if (connection.isReadable()) {
+            readable(buffer);
         }
     }
 
     /** Something, or the end, is there to be read. */
-    void readable(ByteBuffer buffer) throws IOException {
+    void readable(ByteBuffer buffer) {
         read(buffer);
     }
 
-    /** Reads what is there, up to one buffer; returns whether anything was. */
-    boolean read(ByteBuffer buffer) throws IOException {
+    /** Reads what is there, up to one buffer. */
+    Look read(ByteBuffer buffer) {
         buffer.clear();
-        int n = channel.read(buffer);
-        if (n < 0) {
-            endedInOrder = true;
-            fail();
-            return false;
-        }
-        buffer.flip();
-        if (n > 0) {
-            received(buffer);
-        }
-        return n > 0;
+        IoResult result = connection.read(buffer);
+        return switch (result.outcome()) {
+            case PROGRESS -> {
+                buffer.flip();
+                received(buffer);
+                yield Look.SOMETHING;
+            }
+            case NOTHING_NOW -> Look.NOTHING;
+            case NO_RESOURCE -> {
+                loop.lacksResource();
+                yield Look.UNKNOWN;
+            }
+            case END_OF_STREAM -> {
+                endedInOrder = true;
+                loop.count("closed", "peer ended");
+                fail();
+                yield Look.ENDED;
+            }
+            case BROKEN, FATAL -> {
+                loop.count("closed", "read failed");
+                fail();
+                yield Look.ENDED;
+            }
+        };
+    }
+
+    /** What a look at the bytes that may have come in has found. */
+    enum Look {
+        SOMETHING,
+        NOTHING,
+        /** The call failed in a way that passes: there may be something. */
+        UNKNOWN,
+        ENDED
     }
 
     /** Whether nothing has come in, nor the end; what has is lost, so an unquiet connection must be closed. */
     boolean quiet() {
-        try {
-            return channel.read(ByteBuffer.allocate(1)) == 0;
-        } catch (IOException e) {
-            return false;
-        }
+        return connection.quiet();
     }
 
     /** Ends a connection that the other side has broken. */
@@ -164,13 +231,16 @@
         }
     }
 
+    /** A failure in handling it: it ends. */
+    void abort() {
+        fail();
+    }
+
     void shut() {
         open = false;
-        key.cancel();
-        try {
-            channel.close();
-        } catch (IOException e) {
-            // closed all the same
+        if (retry != null) {
+            retry.cancel();
         }
+        connection.close();
     }
 }
--- a/router/src/main/java/stoatrill/pg/PgClient.java
+++ b/router/src/main/java/stoatrill/pg/PgClient.java
@@ -300,6 +300,17 @@
         fatal("53300", "too many connections");
     }
 
+    @Override
+    public void abandon() {
+        byte[] failed = word(new Answer.Failed("the router failed to handle the connection"));
+        for (Pending p : pending) {
+            if (p.answer == null) {
+                give(p, failed);
+            }
+        }
+        fatal("58000", "the router failed to handle the connection");
+    }
+
     @Override
     public void expire() {
         fatal("08P01", "the rest of the message has not come");
--- a/router/src/test/java/stoatrill/scenario/ServeStage.java
+++ b/router/src/test/java/stoatrill/scenario/ServeStage.java
@@ -35,6 +35,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -142,6 +143,21 @@
                 !discovery ? text : configText.replace("127.0.0.1:9", "127.0.0.1:" + listen(s -> discover(text, s))));
     }
 
+    /** A signal is out before it has taken effect: waits until every thread of the program has stopped. */
+    private void awaitStopped() throws Exception {
+        Path threads = Path.of("/proc", Long.toString(router.pid()), "task");
+        boolean stopped = false;
+        while (!stopped) {
+            stopped = true;
+            try (Stream<Path> all = Files.list(threads)) {
+                for (Path thread : (Iterable<Path>) all::iterator) {
+                    String stat = Files.readString(thread.resolve("stat"));
+                    stopped &= stat.substring(stat.lastIndexOf(')')).startsWith(") T");
+                }
+            }
+        }
+    }
+
     private String address(String server, int port) {
         addresses.put(server, "127.0.0.1:" + port);
         return addresses.get(server);
@@ -171,6 +187,9 @@
             new ProcessBuilder("kill", "-" + words[0], Long.toString(router.pid()))
                     .start()
                     .waitFor();
+            if (words[0].equals("STOP")) {
+                awaitStopped();
+            }
         } else if (actor.startsWith("list")) {
             for (String server : addresses.keySet()) {
                 text = text.replace("@" + server, addresses.get(server));
