Need no file once clients are served, and read again for a while what can't be read at a start or SIGHUP

Request classes were read from the jar by the first request; a class that fails once is never tried again by the code that needs it. What made one more file needed was found by a list of opens: the first connect that fails initializes sun.net.util.SocketExceptions, which reads java.security, and a failure there is an InternalError for good. Cancel keys read /dev/urandom every 64 connections. SIGTERM went by a shutdown hook, which needs a second thread beside the signal's.

Change: ClassPreloader loads every class that serving needs before the router listens. Cancel keys are SipHash of a counter under a secret that is read once. A configuration, class or selector that can't be had at the start is tried again for 2 s; a configuration that can't be read at SIGHUP for 10 minutes, said once. SIGTERM and SIGINT go to the loop by the signal's own thread.

--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -131,6 +131,11 @@
         return faults;
     }
 
+    /** What router {@code i} has written to its log so far. */
+    public List<String> log(int i) throws IOException {
+        return routers.get(i).logLines();
+    }
+
     /** Makes a share of a kind of system calls of router {@code i} fail, each with one of these errors. */
     public void failCalls(int i, SystemCall call, double share, List<Errno> errors) throws IOException {
         history.fault("fail " + call + errors + " " + share, "router" + i);
--- a/lab/src/main/resources/stoatrill/lab/rig/failing_calls.c
+++ b/lab/src/main/resources/stoatrill/lab/rig/failing_calls.c
@@ -28,6 +28,7 @@
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/syscall.h>
 #include <sys/uio.h>
 #include <time.h>
 #include <unistd.h>
@@ -220,8 +221,20 @@
     if (fd >= 0 && fd < MOST_DESCRIPTORS) named[fd] = only_path && strstr(path, only_path);
 }
 
+/* Says in the process's log which file could not be opened. */
+static void say_unopened(const char *path) {
+    static const char before[] = "failing_calls: not opened: ";
+    int error = errno;
+    syscall(SYS_write, 2, before, sizeof before - 1);
+    syscall(SYS_write, 2, path, strlen(path));
+    syscall(SYS_write, 2, "\n", 1);
+    errno = error;
+}
+
 static int open_fails(const char *path) {
-    return (!only_path || strstr(path, only_path)) && fails(FILE_OPEN);
+    if ((only_path && !strstr(path, only_path)) || !fails(FILE_OPEN)) return 0;
+    say_unopened(path);
+    return 1;
 }
 
 int open(const char *path, int flags, ...) {
--- a/lab/src/test/java/stoatrill/lab/rig/FailingCallsTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/FailingCallsTest.java
@@ -87,7 +87,12 @@
             rig.cut(1, true);
             opsAfter(rig, FAILING_OPS);
             for (int router = 0; router < ROUTERS; router++) {
-                assertEquals(0, rig.calls(router).failed(call), "router" + router + " needed a file");
+                rig.failCalls(router, SystemCall.CONNECT, SHARE, List.of(Errno.ECONNREFUSED));
+            }
+            opsAfter(rig, FAILING_OPS);
+            for (int router = 0; router < ROUTERS; router++) {
+                assertEquals(
+                        0, rig.calls(router).failed(call), "router" + router + " needed a file: " + rig.log(router));
             }
             assertClean(Checker.check(rig.finish()));
         }
--- a/router/src/main/java/stoatrill/Main.java
+++ b/router/src/main/java/stoatrill/Main.java
@@ -4,8 +4,8 @@
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
-import java.lang.reflect.Proxy;
-import java.util.concurrent.CountDownLatch;
+import java.net.BindException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -16,6 +16,9 @@
 import stoatrill.net.EventLoop;
 import stoatrill.pg.PgClient;
 import stoatrill.pg.PgServer;
+import stoatrill.startup.ClassPreloader;
+import stoatrill.startup.Retry;
+import stoatrill.startup.Signals;
 import stoatrill.wire.Loop;
 import stoatrill.wire.MalformedInputException;
 
@@ -25,6 +28,15 @@
  * the command line's library nor a second log library; all else is read by {@link Commands}.
  */
 public final class Main {
+    /** How long a start goes on trying what fails for a moment, in nanoseconds. */
+    private static final long START_PATIENCE = 2_000_000_000L;
+    /** How long a configuration that can't be read after SIGHUP is tried again, in nanoseconds. */
+    private static final long RELOAD_PATIENCE = 600_000_000_000L;
+
+    private static final AtomicInteger RELOADS = new AtomicInteger();
+    /** The last reload of which it was said that the configuration can't be read. */
+    private static final AtomicInteger SAID = new AtomicInteger();
+
     /** The loop that signals go to, and those that came before there was one; guarded by this class. */
     private static EventLoop serving;
 
@@ -48,27 +60,19 @@
 
     /** Runs one router until SIGTERM; {@link Logs#choose} comes first. */
     public static void serve() {
-        CountDownLatch ended = new CountDownLatch(1);
-        onHangUp(Main::reload);
+        Signals.handle("HUP", Main::reload);
+        // Before the listener is up: what comes in from then on counts as taken, also if SIGTERM is here already.
+        Signals.handle("TERM", Main::stop);
+        Signals.handle("INT", Main::stop);
         try {
-            Config config = Config.read(System.getenv());
+            Config config = Retry.within(START_PATIENCE, Main::passes, () -> Config.read(System.getenv()));
             Logs.name(config.name());
-            // Before the listener is up: what comes in from then on counts as taken, also if SIGTERM is here already.
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                asked(loop -> loop.stop(), () -> stopAsked = true);
-                try {
-                    ended.await(); // the process ends when the hook does: only once all is answered
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }));
-            try {
-                EventLoop loop = new EventLoop(config, PgClient::new, PgServer::new);
-                serves(loop);
-                loop.run();
-            } finally {
-                ended.countDown();
-            }
+            int classes = Retry.within(START_PATIENCE, Main::passes, ClassPreloader::load);
+            log().debug("{} classes loaded before the first client", classes);
+            EventLoop loop = Retry.within(
+                    START_PATIENCE, Main::passes, () -> new EventLoop(config, PgClient::new, PgServer::new));
+            serves(loop);
+            loop.run();
         } catch (ConfigException e) {
             exit(2, e.getMessage());
         } catch (IOException e) {
@@ -76,44 +80,39 @@
         }
     }
 
+    /** Whether what failed may succeed if it is tried again. */
+    private static boolean passes(Exception e) {
+        return e instanceof ConfigException config ? config.passes() : !(e instanceof BindException);
+    }
+
+    /** SIGTERM: the loop ends in order, and the program with it. */
+    private static void stop() {
+        asked(EventLoop::stop, () -> stopAsked = true);
+    }
+
     /**
-     * Guards the process from SIGHUP, which by default ends it. The virtual machine's only way to a signal is a
-     * class that javac warns of whenever it is named, so it is reached by name at run time.
-     *
-     * <p>A signal that was ignored when the virtual machine started stays ignored: the machine installs no handler
-     * for it and says so by the previous handler alone. {@code nohup} starts programs that way.
+     * SIGHUP: reads the configuration anew, on the signal's own thread. A file that can't be read is tried again, and
+     * said once; a newer signal takes over.
      */
-    private static void onHangUp(Runnable then) {
+    private static void reload() {
+        int mine = RELOADS.incrementAndGet();
         try {
-            Class<?> signal = Class.forName("sun.misc.Signal");
-            Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object calls = Proxy.newProxyInstance(
-                    Main.class.getClassLoader(), new Class<?>[] {handler}, (self, method, args) -> {
-                        then.run();
-                        return null;
-                    });
-            Object previous = signal.getMethod("handle", signal, handler)
-                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), calls);
-            if (previous == handler.getField("SIG_IGN").get(null)) {
-                log().warn("SIGHUP was ignored when this process was started and stays so: the configuration can't be"
-                        + " read anew; start the router with env --default-signal=HUP");
-            }
-        } catch (ReflectiveOperationException | IllegalArgumentException e) {
-            log().warn("SIGHUP is not handled here: {}", e.toString());
+            Config anew = Retry.within(RELOAD_PATIENCE, e -> RELOADS.get() == mine && passes(e), () -> readOrSay(mine));
+            asked(loop -> loop.reload(anew), () -> reloadAsked = true);
+        } catch (ConfigException e) {
+            log().warn("the configuration is kept as it was: {}", e.getMessage());
         }
     }
 
-    /** Reads the configuration anew. Each signal has a thread of its own: the last one in reads last. */
-    private static void reload() {
-        asked(
-                loop -> {
-                    try {
-                        loop.reload(Config.read(System.getenv()));
-                    } catch (ConfigException e) {
-                        log().warn("the configuration is kept as it was: {}", e.getMessage());
-                    }
-                },
-                () -> reloadAsked = true);
+    private static Config readOrSay(int reload) throws ConfigException {
+        try {
+            return Config.read(System.getenv());
+        } catch (ConfigException e) {
+            if (e.passes() && SAID.getAndSet(reload) != reload) {
+                log().warn("the configuration is read again until it can be: {}", e.getMessage());
+            }
+            throw e;
+        }
     }
 
     /** Does what a signal asks for, or keeps it in mind until there is a loop that can do it. */
--- a/router/src/main/java/stoatrill/config/Config.java
+++ b/router/src/main/java/stoatrill/config/Config.java
@@ -5,17 +5,15 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.InvalidPathException;
-import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import stoatrill.Gateway;
 import stoatrill.contract.Contracts;
+import stoatrill.io.FileReader;
+import stoatrill.io.Opened;
+import stoatrill.io.SystemCalls;
 import stoatrill.settings.SettingsException;
 import stoatrill.wire.MalformedInputException;
 import stoatrill.wire.SettingsParser;
@@ -50,27 +48,33 @@
         if (file == null) {
             throw new ConfigException("PROXY_CONFIG is not set");
         }
-        try {
-            Config config = parse(Files.readString(Path.of(file), StandardCharsets.UTF_8), environment);
-            String terms = environment.get("PROXY_CONTRACTS");
-            return terms == null ? config : config.with(contracts(terms));
-        } catch (IOException | InvalidPathException e) {
-            throw new ConfigException(
-                    "can't read PROXY_CONFIG " + file + ": " + e.getClass().getSimpleName());
-        }
+        Config config = parse(text("PROXY_CONFIG", file), environment);
+        String terms = environment.get("PROXY_CONTRACTS");
+        return terms == null ? config : config.with(contracts(terms));
     }
 
     private static Contracts contracts(String file) throws ConfigException {
         try {
-            return Contracts.parse(file, Files.readString(Path.of(file), StandardCharsets.UTF_8));
+            return Contracts.parse(file, text("PROXY_CONTRACTS", file));
         } catch (SettingsException e) {
             throw new ConfigException(e.getMessage());
-        } catch (IOException | InvalidPathException e) {
-            throw new ConfigException(
-                    "can't read PROXY_CONTRACTS " + file + ": " + e.getClass().getSimpleName());
         }
     }
 
+    private static String text(String variable, String file) throws ConfigException {
+        Opened<String> read = new FileReader(SystemCalls.PLATFORM).text(file);
+        return switch (read.outcome()) {
+            case PROGRESS -> read.value();
+            case NO_RESOURCE -> throw new ConfigException(unreadable(variable, file, read.why()), true);
+            case FATAL, NOTHING_NOW, END_OF_STREAM, BROKEN ->
+                throw new ConfigException(unreadable(variable, file, read.why()));
+        };
+    }
+
+    private static String unreadable(String variable, String file, String why) {
+        return "can't read " + variable + " " + file + ": " + why;
+    }
+
     private Config with(Contracts terms) {
         return new Config(
                 name,
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -34,6 +34,7 @@
 import stoatrill.discovery.DiscoveryClient;
 import stoatrill.discovery.ServerList;
 import stoatrill.io.Connection;
+import stoatrill.io.FileReader;
 import stoatrill.io.Listener;
 import stoatrill.io.Opened;
 import stoatrill.io.Outcome;
@@ -124,7 +125,7 @@
     private final Map<Long, ServerLink> servers = new HashMap<>();
     private final Map<Long, ClientLink> clients = new LinkedHashMap<>();
     private final Map<Long, ClientLink> byCancelKey = new HashMap<>();
-    private final CancelKeys cancelKeys = new CancelKeys();
+    private final CancelKeys cancelKeys;
     private final ArrayDeque<Runnable> later = new ArrayDeque<>();
     /** The clients of which bytes came in that may hold a command. */
     private final ArrayDeque<ClientLink> due = new ArrayDeque<>();
@@ -218,6 +219,7 @@
                 host(discoveryAt),
                 known.version(),
                 DiscoveryClient.Timing.of(config.settings(), config.seed()));
+        this.cancelKeys = new CancelKeys(new FileReader(calls));
         this.poller = new Poller(calls);
         this.listener = new Listener(calls, poller, config.listen(), BACKLOG);
         reducer.members(now(), Gateway.ListKind.CACHED, known.entries());
