Ask one gate whether something may be begun, sent, repeated, answered or closed now

The conditions stood in five places of the reducer and were asked with the time of the event that led to them; what was half written, or kept for want of room, was written later without being asked again.

Change: core.RequestGate holds them, has no I/O and no clock, and is asked again with the monotonic clock's time at the very write, also where a write is tried again. At debug level each request's course is logged by its id: taken, begun, sent, not sent and by which rule, ended, over; and why each client was ended. The wall clock is compared in each turn of the loop, and a step is logged. A write hands the system 128 KiB at a time, as the platform copies all that it is handed.

--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -121,7 +121,7 @@
         return library == null ? Map.of() : calls(router).environment(library);
     }
 
-    /** The faults of the system calls of router {@code i}, which outlast its restarts; the rig has a library for them. */
+    /** The faults of the system calls of router {@code i}, which outlast its restarts; the rig has a library. */
     public synchronized CallFaults calls(int i) throws IOException {
         CallFaults faults = callFaults.get(i);
         if (faults == null) {
--- a/router/src/main/java/stoatrill/core/Attempt.java
+++ b/router/src/main/java/stoatrill/core/Attempt.java
@@ -17,6 +17,9 @@
     final long sentAt;
     State state = State.WAITING;
     boolean mayHaveRun;
+    /** How long its server was told that the answer is waited for. */
+    long toldMillis;
+
     ServerPool.Connection connection;
     Deadline timeout;
     Deadline connectBy;
--- a/router/src/main/java/stoatrill/core/Clocks.java
+++ b/router/src/main/java/stoatrill/core/Clocks.java
@@ -19,9 +19,14 @@
         return origin + monotonic;
     }
 
-    /** Takes a new pair of readings; guards against a wall clock that is stepped or drifts. */
-    public void compare(long wall, long monotonic) {
+    /**
+     * Takes a new pair of readings; guards against a wall clock that is stepped or drifts. Returns by how much the wall
+     * clock has gone ahead of the monotonic one since the last pair.
+     */
+    public long compare(long wall, long monotonic) {
+        long before = ahead;
         ahead = now(monotonic) - wall;
+        return before - ahead;
     }
 
     /** The module's time for Unix milliseconds. */
--- a/router/src/main/java/stoatrill/core/Effects.java
+++ b/router/src/main/java/stoatrill/core/Effects.java
@@ -32,6 +32,14 @@
     /** A line for the operators. */
     void log(String line);
 
+    /** Whether {@link #trace} is heard, so that nothing is worded for nobody. */
+    default boolean traces() {
+        return false;
+    }
+
+    /** What has become of a request, by the client's name for it. */
+    default void trace(String request, String event, String why) {}
+
     /** Something that was done or has come about, for who adds up what a fleet does. */
     default void count(String what, String why) {}
 }
--- a/router/src/main/java/stoatrill/core/Reducer.java
+++ b/router/src/main/java/stoatrill/core/Reducer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Function;
 import stoatrill.Decide;
 import stoatrill.Gateway;
@@ -23,8 +24,6 @@
 public final class Reducer implements Gateway, ServerPool.Owner {
     private static final long MILLI = 1_000_000L;
     private static final long PROBE_TIMEOUT = 500 * MILLI;
-    /** A read decided on longer ago than this is looked at again before it is written. */
-    private static final long DECISION_KEEPS = 2 * MILLI;
     /** How long after its deadline a request without a final answer is failed; inside the rules' slack. */
     private static final long BACKSTOP = 5 * MILLI;
     /** Positions are rounded, commits up, and the clocks are compared now and then. */
@@ -66,7 +65,8 @@
     private boolean inModule;
     private boolean ending;
 
-    private ContractGate gate;
+    private final RequestGate gate;
+    private ContractGate contractGate;
 
     /** A reducer that has not been told of any server yet: {@link #members} comes first. */
     public Reducer(Effects effects, Clocks clocks, Deadlines deadlines, Setup setup) {
@@ -84,6 +84,7 @@
         this.deadlines = deadlines;
         this.clocks = clocks;
         this.setup = setup;
+        this.gate = new RequestGate(setup.settings());
         this.pool = new ServerPool(
                 effects,
                 deadlines,
@@ -114,11 +115,11 @@
         Contracts part =
                 contracts == null ? null : contracts.part(setup.settings().gateways());
         if (part == null) {
-            gate = null;
-        } else if (gate == null) {
-            gate = new ContractGate(part, setup.seed(), now);
+            contractGate = null;
+        } else if (contractGate == null) {
+            contractGate = new ContractGate(part, setup.seed(), now);
         } else {
-            gate.reload(part, now);
+            contractGate.reload(part, now);
         }
     }
 
@@ -147,14 +148,14 @@
             return;
         }
         int team = -1;
-        boolean groupShort = gate != null && gate.isShort(asked.group(), now);
-        if (gate != null) {
-            team = gate.team(asked.team());
+        boolean groupShort = contractGate != null && contractGate.isShort(asked.group(), now);
+        if (contractGate != null) {
+            team = contractGate.team(asked.team());
             if (team < 0) {
                 effects.answer(client, slot, new Answer.Invalid("team \"" + asked.team() + "\" has no contract here"));
                 return;
             }
-            long wait = gate.admit(team, groupShort, now);
+            long wait = contractGate.admit(team, groupShort, now);
             if (wait > 0) {
                 Limits limits = setup.settings().limits();
                 long advice = limits.comeBack() ? Math.min(wait, limits.longestComeBack()) : 0;
@@ -164,10 +165,11 @@
         }
         Request r = new Request(requestIds++, client, slot, asked, kind, now + asked.waitMillis() * MILLI);
         effects.count(kind.name(), "asked");
+        trace(r, "taken", kind.name());
         r.team = team;
         r.groupShort = groupShort;
         r.charged = now;
-        r.accounts = gate == null ? null : gate.accounts();
+        r.accounts = contractGate == null ? null : contractGate.accounts();
         requests.put(r.id, r);
         names.add(asked.id());
         open.computeIfAbsent(client, c -> new LinkedHashMap<>()).put(slot, r);
@@ -261,10 +263,44 @@
     }
 
     /** The last byte of what was asked is out: from now on it may have run. */
+    public void written(long at, long id) {
+        now = Math.max(now, at);
+        written(id);
+    }
+
+    /** As {@link #written(long, long)}, at the time of the last event. */
     public void written(long id) {
         ServerPool.Connection c = pool.get(id);
         if (c != null && c.attempt != null) {
             c.attempt.state = Attempt.State.OUT;
+            gate.sent(c.attempt, now);
+            trace(c.attempt, "sent", "");
+        }
+    }
+
+    /**
+     * Whether what was worded for a server may go out now: asked at the very write, since time may have passed, and the
+     * request may be over, by then. If not, {@link #unsent} follows.
+     */
+    public boolean maySend(long at, long id) {
+        ServerPool.Connection c = pool.get(id);
+        if (c == null || c.attempt == null) {
+            return false;
+        }
+        RequestGate.Ruling ruling = gate.sendLate(c.attempt, at);
+        if (!ruling.allowed()) {
+            denied(c.attempt, ruling);
+        }
+        return ruling.allowed();
+    }
+
+    /** What was worded for a server has not gone out whole, and will not: its connection is given up. */
+    public void unsent(long at, long id) {
+        now = at;
+        ServerPool.Connection c = pool.get(id);
+        if (c != null && c.attempt != null) {
+            stop(c.attempt, Result.TIMEOUT);
+            drain();
         }
     }
 
@@ -345,9 +381,20 @@
         return deadlines.next();
     }
 
-    /** What was found broken that must hold, and how often. */
+    /** What was found broken that must hold, and how often; rules of the gate by their names. */
     public Map<String, Long> brokenInvariants() {
-        return invariants.broken();
+        Map<String, Long> broken = new TreeMap<>(invariants.broken());
+        gate.violations().forEach((rule, count) -> broken.put(rule.name(), count));
+        return broken;
+    }
+
+    /** The router ends a client's connection by itself: counts it where an answer is still owed on it. */
+    public void closes(long client) {
+        RequestGate.Ruling ruling =
+                gate.close(open.getOrDefault(client, Map.of()).size());
+        if (!ruling.allowed()) {
+            gate.violated(ruling);
+        }
     }
 
     // ---- The module and its actions ----
@@ -366,7 +413,7 @@
         inModule = true;
         try {
             event.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | LinkageError | VirtualMachineError e) {
             // Guards the other requests from a failure of the module; the one at fault ends by its backstop.
             invariants.hold(false, "the module does not throw");
             effects.log("decision failed: " + e);
@@ -403,10 +450,13 @@
             end(a, Result.CONNECT_FAILED, null);
             return;
         }
-        if (r.over || a.number >= setup.settings().limits().attempts() || now >= r.deadline) {
+        RequestGate.Ruling ruling = gate.begin(a, now);
+        if (!ruling.allowed()) {
+            denied(a, ruling);
             end(a, Result.MOOT, null);
             return;
         }
+        trace(a, "begun", "");
         long until = timeout > 0 ? Math.min(now + timeout, r.deadline) : r.deadline;
         a.timeout = deadlines.at(until, () -> stop(a, Result.TIMEOUT));
         pool.take(now, a);
@@ -439,8 +489,8 @@
     public void refuse(long request, long comeBack) {
         actions.add(() -> {
             Request r = requests.get(request);
-            if (gate != null && r != null) {
-                gate.refused(r.asked.group(), now);
+            if (contractGate != null && r != null) {
+                contractGate.refused(r.asked.group(), now);
             }
             last(request, new Answer.Refused((comeBack + MILLI - 1) / MILLI));
         });
@@ -456,18 +506,15 @@
         if (r == null || r.over) {
             return;
         }
-        if (answer instanceof Answer.Refused && r.kind.effect() == Effect.UNSAFE && mayHaveRun(r)) {
-            // Guards uploads: a refusal says that a repeat is harmless.
-            invariants.hold(false, "an upload that may have run is not refused");
-            answer = new Answer.Failed("the outcome is not known");
+        RequestGate.Ruling ruling = gate.answer(r, answer);
+        if (!ruling.allowed()) {
+            gate.violated(ruling);
+            finish(r, new Answer.Failed("the outcome is not known"));
+            return;
         }
         finish(r, answer);
     }
 
-    private static boolean mayHaveRun(Request r) {
-        return r.attempts.stream().anyMatch(Attempt::mayHaveRunByNow);
-    }
-
     @Override
     public void timer(long span, long token) {
         actions.add(() -> deadlines.at(now + span, () -> tell(() -> module.timer(now, token))));
@@ -514,52 +561,37 @@
             effects.probe(c.id);
             return true;
         }
-        if (a.request.over || now >= a.request.deadline || isStale(a) || isLeaving(a) || repeatWindowOver(a)) {
+        RequestGate.Ruling ruling = gate.send(a, now);
+        if (!ruling.allowed()) {
+            denied(a, ruling);
             actions.add(() -> end(a, Result.MOOT, null));
             return false;
         }
         c.attempt = a;
         a.connection = c;
         a.state = Attempt.State.WRITING;
-        effects.query(c.id, a.request.asked.statement(), Math.max(1, (a.request.deadline - now) / MILLI));
+        a.toldMillis = Math.max(1, (a.request.deadline - now) / MILLI);
+        effects.query(c.id, a.request.asked.statement(), a.toldMillis);
         return true;
     }
 
-    /**
-     * Whether what is known of the server no longer satisfies a bounded read that waited for its connection.
-     * Guards the rule on the age of data, whose bound is counted from the last byte of the send.
-     */
-    private boolean isStale(Attempt a) {
-        RequestClass kind = a.request.kind;
-        return kind.need() == Need.BOUNDED
-                && now - a.sentAt > DECISION_KEEPS
-                && setup.settings().replication().check() == Check.NONE
-                && a.server.role != Role.PRIMARY
-                && a.server.position < now - kind.bound();
+    private void denied(Attempt a, RequestGate.Ruling ruling) {
+        effects.count("not sent", ruling.name());
+        trace(a, "not sent", ruling.name());
     }
 
-    /**
-     * Whether the server of an attempt that waited for its connection has come to be leaving meanwhile, for half of
-     * the grace or, where that may have been told before it was heard here, at all. Guards the rule on drains, which
-     * counts a send by its first byte.
-     */
-    private boolean isLeaving(Attempt a) {
-        return now - a.sentAt > DECISION_KEEPS
-                && a.server.leavingSince != ServerPool.Server.STAYS
-                && now - a.server.leavingSince >= setup.settings().rules().drainGrace() / 2;
+    // ---- What is told of requests ----
+
+    private void trace(Request r, String event, String why) {
+        if (effects.traces()) {
+            effects.trace(r.asked.id(), event, why);
+        }
     }
 
-    /**
-     * Whether a further attempt that waited for its connection comes after the class's window for repeats, counted
-     * from when the first that may have run was sent. Guards keyed requests against a repeat that is no longer
-     * recognised as one, where connections come up late or windows are short.
-     */
-    private boolean repeatWindowOver(Attempt a) {
-        if (a.number == 0 || a.request.kind.effect() != Effect.KEYED) {
-            return false;
+    private void trace(Attempt a, String event, String why) {
+        if (a.request != null && effects.traces()) {
+            effects.trace(a.request.asked.id(), event, "attempt " + a.number + " server " + a.server.id + " " + why);
         }
-        long window = a.request.kind.repeatWindow() - setup.settings().rules().answerSlack();
-        return a.request.attempts.stream().anyMatch(o -> o != a && o.mayHaveRunByNow() && now >= o.sentAt + window);
     }
 
     @Override
@@ -579,7 +611,8 @@
         }
         effects.count("ended", "abandoned");
         pool.drop(a.connection); // the way to abandon an attempt
-        end(a, why, null);
+        boolean neverRan = a.state == Attempt.State.WRITING; // its last byte never went out
+        end(a, !neverRan ? why : why == Result.TIMEOUT ? Result.CONNECT_FAILED : Result.MOOT, null);
     }
 
     private void end(Attempt a, Result result, ServerAnswer answer) {
@@ -598,6 +631,7 @@
         learn(a.server, answer, report);
         Request r = a.request;
         effects.count(r == null ? "probed" : "outcome", result.name());
+        trace(a, "ended", result.name());
         if (r == null) {
             call(() -> module.probed(now, a.server.id, now - a.sentAt, result, report));
             return;
@@ -662,10 +696,16 @@
 
     /** Ends a request with its one final answer; null where nobody is there to take it. */
     private void finish(Request r, Answer answer) {
-        if (!invariants.hold(!r.over, "a request has one final answer")) {
+        if (r.over) {
+            gate.violated(RequestGate.Ruling.ANSWERED_TWICE);
             return;
         }
         r.over = true;
+        r.overAt = now;
+        trace(
+                r,
+                "over",
+                answer == null ? "its client has left" : answer.getClass().getSimpleName());
         if (r.accounts != null && r.attempts.isEmpty()) {
             r.accounts.giveBack(r.team, r.groupShort, r.charged); // it went nowhere
         }
@@ -686,7 +726,7 @@
             effects.answer(r.client, r.slot, answer);
         }
         for (Attempt a : r.attempts) {
-            if (a.state == Attempt.State.WAITING) {
+            if (a.state == Attempt.State.WAITING || a.state == Attempt.State.WRITING) {
                 actions.add(() -> stop(a, Result.CANCELLED)); // nobody is left to begin it for
             }
         }
--- a/router/src/main/java/stoatrill/core/Request.java
+++ b/router/src/main/java/stoatrill/core/Request.java
@@ -18,6 +18,9 @@
     final List<Attempt> attempts = new ArrayList<>(2);
     int out;
     boolean over;
+    /** When it came to be over. */
+    long overAt;
+
     Deadline backstop;
     /** The place of its team where contracts hold, negative where not; and how it was charged. */
     int team = -1;
--- a/router/src/main/java/stoatrill/io/Connection.java
+++ b/router/src/main/java/stoatrill/io/Connection.java
@@ -13,6 +13,8 @@
  * makes the repeats fail too. For the poller's thread alone.
  */
 public final class Connection {
+    /** Bytes handed to the system at a time. */
+    private static final int MOST_WRITTEN = 128 * 1024;
     /** How often an interrupted or failed call is made again at once. */
     private static final int REPEATS = 16;
     /** How often a call is made again at once after the system has said that the connection is broken. */
@@ -64,9 +66,15 @@
         return transfer(() -> calls.read(channel, into), reads, true);
     }
 
-    /** Writes what the socket takes. */
+    /** Writes what the socket takes, a part of it at a time: the platform copies all that it is handed. */
     public IoResult write(ByteBuffer from) {
-        return transfer(() -> calls.write(channel, from), writes, false);
+        int end = from.limit();
+        from.limit(Math.min(end, from.position() + MOST_WRITTEN));
+        try {
+            return transfer(() -> calls.write(channel, from), writes, false);
+        } finally {
+            from.limit(end);
+        }
     }
 
     private IoResult transfer(Call call, Repeats repeats, boolean reads) {
--- a/router/src/main/java/stoatrill/io/FileReader.java
+++ b/router/src/main/java/stoatrill/io/FileReader.java
@@ -17,8 +17,8 @@
     }
 
     /**
-     * The text of a file in UTF-8. Fatal if there is no such file or it isn't text; no resource for every other failure,
-     * which may pass.
+     * The text of a file in UTF-8. Fatal if there is no such file or it isn't text; no resource for every other
+     * failure, which may pass.
      */
     public Opened<String> text(String file) {
         try {
--- a/router/src/main/java/stoatrill/io/Poller.java
+++ b/router/src/main/java/stoatrill/io/Poller.java
@@ -214,8 +214,8 @@
     }
 
     /**
-     * Guards against a change of interest that the system refused: it goes on telling of what nobody asks for, and every
-     * wait ends at once.
+     * Guards against a change of interest that the system refused: it goes on telling of what nobody asks for, and
+     * every wait ends at once.
      */
     private void noteWait(int found, long nanos) {
         if (nanos >= MILLI) {
--- a/router/src/main/java/stoatrill/net/CancelKeys.java
+++ b/router/src/main/java/stoatrill/net/CancelKeys.java
@@ -10,9 +10,9 @@
 
 /**
  * Keys by which clients cancel, drawn so that nobody can guess another's: SipHash-2-4 (Aumasson and Bernstein, 2012) of
- * a counter under a secret of the process. The secret is read once, from the system's own source: loading the platform's
- * security providers would cost a start tens of milliseconds, and once clients are served no file is needed. For one
- * thread.
+ * a counter under a secret of the process. The secret is read once, from the system's own source: loading the
+ * platform's security providers would cost a start tens of milliseconds, and once clients are served no file is
+ * needed. For one thread.
  */
 final class CancelKeys {
     private static final String SOURCE = "/dev/urandom";
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -105,7 +105,9 @@
     /** Calls refused a descriptor in a row from which on there really is none. */
     private static final int MOST_REFUSALS = 4;
 
-    private static final long COMPARE_CLOCKS = 1_000 * MILLI;
+    /** A change of the wall clock against the monotonic one that is more than its being set right bit by bit. */
+    private static final long LEAST_STEP = 50 * MILLI;
+
     private static final long COUNTS_EVERY = 1_000 * MILLI;
     /** How long a router whose lists are pushed waits for its agent, which answers at once, before it serves. */
     private static final long FIRST_LIST = 500 * MILLI;
@@ -271,9 +273,12 @@
         return clocks.now(System.nanoTime());
     }
 
+    /** Compared in each turn: what peers state by the wall clock is converted by the newest difference. */
     private void compareClocks() {
-        clocks.compare(wall(), System.nanoTime());
-        deadlines.at(now() + COMPARE_CLOCKS, this::compareClocks);
+        long step = clocks.compare(wall(), System.nanoTime());
+        if (Math.abs(step) > LEAST_STEP) {
+            LOG.warn("the wall clock was stepped by {} ms", step / MILLI);
+        }
     }
 
     /** Runs something once the event or effect at hand has returned. */
@@ -292,6 +297,11 @@
         count("edge", "no resource");
     }
 
+    /** What was found broken that must hold, and how often; read once {@link #run} has returned. */
+    Map<String, Long> brokenInvariants() {
+        return reducer.brokenInvariants();
+    }
+
     /** Where clients are listened for, with the port that the system chose if the configuration has none. */
     public InetSocketAddress address() {
         return listener.address();
@@ -380,6 +390,9 @@
         boolean moves = to != null && !to.equals(filed) && !to.equals(discoveryAt);
         filed = to;
         LOG.info("configuration read anew; discovery {}", moves ? "moves to " + host(to) : "stays");
+        if (!reducer.brokenInvariants().isEmpty()) {
+            LOG.error("invariants broken so far: {}", reducer.brokenInvariants());
+        }
         if (moves) {
             discoveryAt = to;
             discovery.move(now(), host(to));
@@ -397,6 +410,7 @@
      * time, and only then the commands.
      */
     private void turn() {
+        compareClocks();
         List<Link> others = new ArrayList<>();
         boolean accept = false;
         for (Iterator<SelectionKey> keys = poller.found().iterator(); keys.hasNext(); ) {
@@ -857,6 +871,8 @@
         void end(String why) {
             if (open()) {
                 count("closed", why);
+                LOG.debug("client {} is ended: {}", id, why);
+                reducer.closes(id);
                 shut();
                 lost();
             }
@@ -920,10 +936,19 @@
             write(query);
         }
 
+        @Override
+        boolean mayWriteLate() {
+            boolean may = !asked || reducer.maySend(now(), id);
+            if (!may) {
+                later.add(() -> reducer.unsent(now(), id));
+            }
+            return may;
+        }
+
         @Override
         void flushed() {
             if (asked) {
-                reducer.written(id);
+                reducer.written(now(), id);
             }
         }
 
@@ -1007,8 +1032,13 @@
     @Override
     public void query(long connection, Statement statement, long waitMillis) {
         ServerLink link = servers.get(connection);
-        if (link != null) {
+        if (link == null) {
+            return;
+        }
+        if (reducer.maySend(now(), connection)) {
             link.ask(link.protocol.query(statement, waitMillis));
+        } else {
+            later.add(() -> reducer.unsent(now(), connection));
         }
     }
 
@@ -1129,6 +1159,16 @@
         LOG.info(line);
     }
 
+    @Override
+    public boolean traces() {
+        return tally != null;
+    }
+
+    @Override
+    public void trace(String request, String event, String why) {
+        LOG.debug("request {} {} {}", request, event, why);
+    }
+
     @Override
     public void count(String what, String why) {
         if (tally != null) {
--- a/router/src/main/java/stoatrill/startup/Signals.java
+++ b/router/src/main/java/stoatrill/startup/Signals.java
@@ -33,8 +33,8 @@
                     .invoke(null, signal.getConstructor(String.class).newInstance(name), calls);
             if (previous == handler.getField("SIG_IGN").get(null)) {
                 log().warn(
-                                "SIG{} was ignored when this process was started and stays so: it has no effect; start the"
-                                        + " router with env --default-signal={}",
+                                "SIG{} was ignored when this process was started and stays so: it has no effect; start"
+                                        + " the router with env --default-signal={}",
                                 name,
                                 name);
             }
