--- a/lab/src/main/java/stoatrill/lab/cli/Lab.java
+++ b/lab/src/main/java/stoatrill/lab/cli/Lab.java
@@ -17,6 +17,7 @@
         subcommands = {
             Up.class,
             Chaos.class,
+            SoakCommand.class,
             FootprintCommand.class,
             Run.class,
             Experiments.class,
--- a/lab/src/main/java/stoatrill/lab/rig/Checker.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Checker.java
@@ -20,6 +20,8 @@
  *       {@value #LATE_MILLIS} ms after it counts as told that the node drains: at once on an open watch; for a watch
  *       that had fallen silent 6 s after that, or 2 s after its wait, whichever is later; where discovery had
  *       been away until then or shortly before, 6 s after it had the change and could be reached;
+ *   <li><b>closed under a request</b>: a router that was neither killed nor told to end closed a connection with a
+ *       request on it, and the client sent it once more: its clients leave no connection at rest for long;
  *   <li><b>ended by itself</b>: a router's process that ended though nothing had ended it;
  *   <li><b>logged</b>: a line of a router's log that tells of an error or an exception nobody caught.
  * </ul>
@@ -33,6 +35,8 @@
     private static final long SECOND = 1_000_000_000L;
     /** How long after discovery's return a router may still be without a call that was answered. */
     private static final long NEXT_CALL = 6 * SECOND;
+    /** How long a router that was told to end goes on serving. */
+    private static final long ENDING = 5 * SECOND;
     /** What a busy machine may hold up discovery's answer, the router's write and the relay. */
     static final long LATE_MILLIS = 750;
 
@@ -50,6 +54,7 @@
             List<String> ranTwice,
             List<String> stale,
             List<String> toLeaving,
+            List<String> closedUnder,
             List<String> endedByItself,
             List<String> logged) {
         public boolean clean() {
@@ -57,6 +62,7 @@
                     && ranTwice.isEmpty()
                     && stale.isEmpty()
                     && toLeaving.isEmpty()
+                    && closedUnder.isEmpty()
                     && endedByItself.isEmpty()
                     && logged.isEmpty();
         }
@@ -140,10 +146,34 @@
                 List.copyOf(twice),
                 List.copyOf(stale),
                 toLeaving(lines),
+                closedUnder(lines),
                 List.copyOf(ended),
                 List.copyOf(logged));
     }
 
+    /** The requests that a router closed under though nothing made it end. */
+    private static List<String> closedUnder(List<String> lines) {
+        Map<String, List<Long>> ends = new HashMap<>();
+        for (String line : lines) {
+            String[] f = line.split("\t", -1);
+            if (f[0].equals("fault") && (f[2].startsWith("kill") || f[2].startsWith("term"))) {
+                ends.computeIfAbsent(f[3], r -> new ArrayList<>()).add(Long.parseLong(f[1]));
+            }
+        }
+        List<String> under = new ArrayList<>();
+        for (String line : lines) {
+            String[] f = line.split("\t", -1);
+            if (f[0].equals("op") && f.length > 8 && !f[8].equals("-")) {
+                long sent = Long.parseLong(f[4]);
+                long ended = Long.parseLong(f[5]);
+                if (ends.getOrDefault(f[8], List.of()).stream().noneMatch(at -> at >= sent - ENDING && at <= ended)) {
+                    under.add(f[1] + " by " + f[8]);
+                }
+            }
+        }
+        return List.copyOf(under);
+    }
+
     /** What was sent to leaving nodes too late, as {@code ROUTER NODE MILLIS-AFTER-THE-GRACE}. */
     private static List<String> toLeaving(List<String> lines) {
         Map<String, Long> leaves = new HashMap<>();
--- a/lab/src/main/java/stoatrill/lab/rig/Clients.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Clients.java
@@ -111,6 +111,7 @@
         long sent = history.now();
         String outcome = "none";
         int tries = 0;
+        String closedBy = "-";
         String router = line.door.name();
         while (tries < 2 && (tries == 0 || (mayResend(upload, router, sent) && resend(line, random, router)))) {
             tries++;
@@ -125,9 +126,11 @@
                     close(line);
                     outcome = "none";
                     if (!crossed(e)) {
-                        history.op(id, upload ? "upload" : "read", router, sent, history.now(), outcome, tries);
+                        history.op(
+                                id, upload ? "upload" : "read", router, sent, history.now(), outcome, tries, closedBy);
                         return; // the client gave up waiting: it does not send it again
                     }
+                    closedBy = router;
                     continue;
                 }
                 outcome = state.equals("53300") || state.equals("57P01") ? "refused" : "error:" + state;
@@ -135,10 +138,10 @@
                     close(line);
                 }
             }
-            history.op(id, upload ? "upload" : "read", router, sent, history.now(), outcome, tries);
+            history.op(id, upload ? "upload" : "read", router, sent, history.now(), outcome, tries, closedBy);
             return;
         }
-        history.op(id, upload ? "upload" : "read", line.door.name(), sent, history.now(), outcome, tries);
+        history.op(id, upload ? "upload" : "read", line.door.name(), sent, history.now(), outcome, tries, closedBy);
     }
 
     /**
--- a/lab/src/main/java/stoatrill/lab/rig/History.java
+++ b/lab/src/main/java/stoatrill/lab/rig/History.java
@@ -10,9 +10,10 @@
  * What happened in a run of the rig, as lines of tab-separated words, in the order they were recorded:
  *
  * <pre>
- * op     ID  KIND  ROUTER  SENT  ENDED  OUTCOME  TRIES   a client's request: KIND read or upload; times in ns
+ * op     ID  KIND  ROUTER  SENT  ENDED  OUTCOME  TRIES  BY   a client's request: KIND read or upload; times in ns
  *                                                  of the rig; ROUTER the last it was sent to; TRIES 1, or 2 where
- *                                                  a close crossed it and it was sent once more
+ *                                                  a close crossed it and it was sent once more; BY the
+ *                                                  router whose close that was, "-" for none
  * fault  AT  WHAT  TARGET                          a fault the rig applied: kill, pause, resume, term, reset, …
  * ran    ID  COUNT                                 how often an upload with this id ran at the stand-ins
  * sent   AT  NODE  ROUTER                          a request that a router sent to a node, as it passed the relay
@@ -39,7 +40,7 @@
     }
 
     public synchronized void op(
-            String id, String kind, String router, long sent, long ended, String outcome, int tries) {
+            String id, String kind, String router, long sent, long ended, String outcome, int tries, String closedBy) {
         ops++;
         lines.add(String.join(
                 "\t",
@@ -50,7 +51,8 @@
                 Long.toString(sent),
                 Long.toString(ended),
                 outcome,
-                Integer.toString(tries)));
+                Integer.toString(tries),
+                closedBy));
     }
 
     public synchronized void fault(String what, String target) {
--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -26,6 +26,9 @@
     private static final Pattern TROUBLE =
             Pattern.compile("\\bERROR\\b|Exception in thread|^stoatrill: |invariants broken: \\{[^}]");
 
+    /** The longest deadline of the clients here, 3 s, and the 0.7 s of the protocol. */
+    private static final long KILL_AFTER_TERM_MILLIS = 3_700;
+
     private static final long NOTICE = 200_000_000L;
 
     private final RunLine run;
@@ -136,6 +139,52 @@
         return routers.get(i).logLines();
     }
 
+    /** Sends SIGHUP to router {@code i}: it reads its configuration anew. */
+    public void hangUp(int i) throws IOException {
+        history.fault("hangup", routers.get(i).name());
+        routers.get(i).signal("HUP");
+    }
+
+    /** Sets the wall clock of router {@code i} apart from the machine's by so many nanoseconds. */
+    public void stepWallClock(int i, long nanos) throws IOException {
+        history.fault("clock " + nanos / 1_000_000L + " ms", "router" + i);
+        calls(i).stepWallClock(nanos);
+    }
+
+    /**
+     * Ends router {@code i} by SIGTERM, and by SIGKILL at the earliest that the protocol allows. Such a kill excuses no
+     * request: all were to be answered by then.
+     */
+    public void termThenKill(int i) throws IOException, InterruptedException {
+        history.fault("term", routers.get(i).name());
+        routers.get(i).ending(true);
+        routers.get(i).signal("TERM");
+        if (!routers.get(i).awaitEnd(KILL_AFTER_TERM_MILLIS)) {
+            history.fault("kill after term", routers.get(i).name());
+            routers.get(i).signal("KILL");
+            routers.get(i).awaitEnd(Long.MAX_VALUE);
+        }
+    }
+
+    /** How many descriptors router {@code i} holds. */
+    public int descriptors(int i) throws IOException {
+        try (java.util.stream.Stream<Path> all =
+                Files.list(Path.of("/proc", Long.toString(routers.get(i).pid()), "fd"))) {
+            return (int) all.count();
+        }
+    }
+
+    /** How much memory of router {@code i} is resident, in KiB. */
+    public long residentKib(int i) throws IOException {
+        for (String line :
+                Files.readAllLines(Path.of("/proc", Long.toString(routers.get(i).pid()), "status"))) {
+            if (line.startsWith("VmRSS:")) {
+                return Long.parseLong(line.replaceAll("\\D", ""));
+            }
+        }
+        return 0;
+    }
+
     /** Makes a share of a kind of system calls of router {@code i} fail, each with one of these errors. */
     public void failCalls(int i, SystemCall call, double share, List<Errno> errors) throws IOException {
         history.fault("fail " + call + errors + " " + share, "router" + i);
--- a/lab/src/test/java/stoatrill/lab/rig/CheckerTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/CheckerTest.java
@@ -30,6 +30,26 @@
         assertFalse(v.clean());
     }
 
+    @Test
+    void aRouterThatEndedByItselfOrLoggedAnErrorIsNamed() {
+        Checker.Verdict v = Checker.check(
+                List.of("op\tq1\tread\trouter0\t1\t2\tok", "ended\t5\trouter1\t1", "logged\trouter0\tERROR"));
+        assertEquals(List.of("router1 status 1"), v.endedByItself());
+        assertEquals(List.of("router0 ERROR"), v.logged());
+        assertFalse(v.clean());
+    }
+
+    @Test
+    void aCloseUnderARequestIsNamedUnlessItsRouterWasEnding() {
+        Checker.Verdict v = Checker.check(List.of(
+                "op\tq1\tread\trouter1\t10\t20\tok\t2\trouter0",
+                "fault\t30\tterm\trouter2",
+                "op\tq2\tread\trouter1\t40\t50\tok\t2\trouter2",
+                "op\tq3\tread\trouter1\t40\t50\tok\t1\t-"));
+        assertEquals(List.of("q1 by router0"), v.closedUnder());
+        assertFalse(v.clean());
+    }
+
     @Test
     void anUploadThatRanTwiceIsNamed() {
         Checker.Verdict v = Checker.check(List.of("op\tq1\tupload\trouter0\t1\t2\tok", "ran\tq1\t2", "ran\tq2\t1"));
--- a/lab/src/test/java/stoatrill/lab/rig/FailingCallsTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/FailingCallsTest.java
@@ -29,6 +29,7 @@
 
     private static final long PATIENCE_NANOS = 30_000_000_000L;
     private static final int WARM_OPS = 60;
+    private static final int HANGUPS = 5;
     private static final int FAILING_OPS = 150;
 
     @TempDir
@@ -59,6 +60,12 @@
                 rig.failCalls(router, call, SHARE, call.documented());
             }
             opsAfter(rig, FAILING_OPS);
+            for (int router = 0; router < ROUTERS; router++) {
+                for (int n = 0; n < HANGUPS; n++) {
+                    rig.hangUp(router); // takes a thread, a wake-up and a line of the log
+                }
+            }
+            opsAfter(rig, WARM_OPS);
             long failed = 0;
             for (int router = 0; router < ROUTERS; router++) {
                 rig.healCalls(router, call);
