--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -32,6 +32,7 @@
 
 /** What the cases share: a small deployment of stand-ins on loopback, routers as processes, clients and a record. */
 final class Rig implements AutoCloseable {
+    private static final double LONGEST_RUN_MS = 115_000;
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
 
     final Path root = Path.of(System.getProperty("review.root"));
@@ -61,6 +62,11 @@
         int status = 2;
         try (Rig rig = new Rig(Path.of(recordFile))) {
             Runtime.getRuntime().addShutdownHook(new Thread(() -> rig.routers.forEach(r -> r.process.destroyForcibly())));
+            start("watchdog", () -> {
+                sleep(LONGEST_RUN_MS);
+                System.err.println("the run takes too long");
+                System.exit(2); // the hook above ends the routers
+            });
             boolean held = body.run(rig);
             rig.say(held ? "the rule held" : "THE RULE WAS BROKEN");
             status = held ? 0 : 1;
