Keep the port of a stand-in bound while its process is down

Cause: its port was free while the node was down, so that the system could choose it for any connection or listener. Change: a socket that does not listen keeps the port until the start; connections are refused as before. DeploymentTest binds the port of a node that is down: that succeeded before and fails now.

--- a/standins/src/main/java/stoatrill/standins/net/PgNode.java
+++ b/standins/src/main/java/stoatrill/standins/net/PgNode.java
@@ -43,6 +43,9 @@
     private InetSocketAddress address;
     private ServerSocketChannel listener;
 
+    /** Keeps the port while the process is down; null while it is up. */
+    private SocketChannel portKeeper;
+
     /** {@code work} has the mean work of each class of requests, in nanoseconds. */
     PgNode(RealTime time, Node node, Records records, Map<String, Double> work) throws IOException {
         this.time = time;
@@ -70,10 +73,18 @@
         listener.register(time.selector(), SelectionKey.OP_ACCEPT, this);
     }
 
-    /** Its process ends: nobody listens any more, and connections are reset. */
+    /**
+     * Its process ends: nobody listens any more, and connections are reset. The port stays bound, so that no other
+     * process gets it before the start.
+     */
     void kill() throws IOException {
         node.stop(Node.State.DOWN);
         listener.close();
+        // A registered listener is closed by the next selection only.
+        time.selector().selectNow();
+        portKeeper = SocketChannel.open();
+        portKeeper.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        portKeeper.bind(address);
         for (Session s : List.copyOf(sessions)) {
             s.reset();
         }
@@ -83,6 +94,7 @@
     void start() throws IOException {
         if (!listener.isOpen()) {
             listen();
+            portKeeper.close();
         }
         node.start();
     }
