Reproduce the overload of cold servers once no warm one answers, failing

Eight real routers, eight stand-in servers and several hundred clients on loopback: three servers restart, the five warm ones end, and clients repeat what is not served; in the second play the routers start again as well, so that they know cold servers alone. The bound is the rule's: a cold server falls over when it is sent the settings' multiple of what it can do for the settings' span.

A deployment of stand-ins can be given the work of its requests and the number of its routers, and its view of a node has the most that the node was sent while cold.

--- /dev/null
+++ b/lab/src/test/java/stoatrill/lab/rig/SlowStartBudgetTest.java
@@ -0,0 +1,134 @@
+package stoatrill.lab.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import stoatrill.standins.model.Node;
+import stoatrill.standins.net.Deployment;
+
+/**
+ * Servers that have just started are overloaded when the warm ones stop answering, since a router's part of their
+ * budget then follows the demand. Real routers, servers and clients on loopback.
+ */
+@Timeout(120)
+class SlowStartBudgetTest {
+    private static final int ROUTERS = 8;
+    private static final int NODES = 8;
+    private static final List<Integer> COLD = List.of(5, 6, 7);
+    private static final List<Integer> WARM = List.of(0, 1, 2, 3, 4);
+    private static final int CLIENTS_COUNT = 40;
+    private static final int FURTHER_CLIENTS_COUNT = 360;
+    private static final int READS_BEFORE = 2000;
+    private static final int READS_AFTER = 10_000;
+    private static final long NOTICE_NANOS = 50_000_000L;
+
+    /** A node takes 100 such reads a second; one that has just started bears 120 in a second. */
+    private static final Map<String, Double> WORK = Map.of("archive-read", 40e6);
+
+    private static final String USUAL_CLASS = "\"aim\":150000000,\"giveUp\":500000000,\"gain\":1.0";
+
+    /** With the highest worth and a longer aim, reads are refused late, so that the budget alone limits them. */
+    private static final String PATIENT_CLASS = "\"aim\":400000000,\"giveUp\":500000000,\"gain\":6.0";
+
+    private final List<RouterProc> routers = new ArrayList<>();
+
+    /** {@code restartsRouters}: the routers start again once the warm servers are gone, and know only cold ones. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void coldServersAreNotOverloadedOnceNoWarmOneAnswers(boolean restartsRouters, @TempDir Path dir) throws Exception {
+        try (Deployment deployment = new Deployment(NODES, NOTICE_NANOS, WORK, at -> at);
+                ReadClients clients = new ReadClients(this::ports)) {
+            startRouters(deployment, dir);
+            clients.add(CLIENTS_COUNT);
+            Wait.until(() -> clients.served() >= READS_BEFORE);
+            restartCold(deployment);
+            for (int node : WARM) {
+                deployment.kill(node);
+            }
+            awaitLogged("listed GONE after READY", COLD.size() + WARM.size());
+            if (restartsRouters) {
+                routers.forEach(RouterProc::kill);
+                startRouters(deployment, dir);
+            }
+            clients.add(FURTHER_CLIENTS_COUNT);
+            long asked = clients.asked();
+            Wait.until(() -> clients.asked() >= asked + READS_AFTER);
+            List<Deployment.View> nodes = deployment.views();
+            for (int node : COLD) {
+                System.out.printf(
+                        "%s: %.2f of what tips it over%n",
+                        nodes.get(node).name(), nodes.get(node).mostPressed());
+            }
+            for (int node : COLD) {
+                assertEquals(Node.State.UP, nodes.get(node).state(), nodes.toString());
+                assertTrue(nodes.get(node).mostPressed() < 1, nodes.toString());
+                assertTrue(nodes.get(node).served() > 0, "no attempt was sent to it: the test shows nothing");
+            }
+        } finally {
+            routers.forEach(RouterProc::kill);
+        }
+    }
+
+    private List<Integer> ports() {
+        synchronized (routers) {
+            return routers.stream()
+                    .filter(RouterProc::alive)
+                    .map(RouterProc::port)
+                    .filter(port -> port > 0)
+                    .toList();
+        }
+    }
+
+    private void startRouters(Deployment deployment, Path dir) throws IOException {
+        RunLine run = RunLine.find(Path.of(""));
+        List<RouterProc> started = new ArrayList<>();
+        for (int i = 0; i < ROUTERS; i++) {
+            String name = "router" + i;
+            String text = deployment
+                    .config(name, i % 2 == 0 ? "mona" : "papine", "127.0.0.1:0", ROUTERS)
+                    .replace(USUAL_CLASS, PATIENT_CLASS);
+            assertTrue(text.contains(PATIENT_CLASS), text);
+            Path config = Files.writeString(dir.resolve(name + ".json"), text);
+            started.add(new RouterProc(run, name, config, dir.resolve(name + "." + System.nanoTime() + ".log")));
+        }
+        synchronized (routers) {
+            routers.clear();
+            routers.addAll(started);
+        }
+        for (RouterProc router : started) {
+            router.await();
+        }
+    }
+
+    /** Restarts the nodes that are to be cold; returns once every router knows of it. */
+    private void restartCold(Deployment deployment) throws Exception {
+        for (int node : COLD) {
+            deployment.kill(node);
+        }
+        awaitLogged("listed GONE after READY", COLD.size());
+        for (int node : COLD) {
+            deployment.start(node);
+        }
+        awaitLogged("was started", COLD.size());
+    }
+
+    /** Waits until every router has logged so many lines with this text. */
+    private void awaitLogged(String text, int count) throws Exception {
+        for (RouterProc router : routers) {
+            Wait.until(() -> router.logLines().stream()
+                            .filter(line -> line.contains(text))
+                            .count()
+                    >= count);
+        }
+    }
+}
--- a/standins/src/main/java/stoatrill/standins/net/Deployment.java
+++ b/standins/src/main/java/stoatrill/standins/net/Deployment.java
@@ -24,7 +24,13 @@
     private static final Map<String, Double> WORK =
             Map.of("recent-read", 8e6, "archive-read", 8e6, "reading-upload", 15e6);
 
-    /** One node as it is now. */
+    private static final int DEFAULT_ROUTERS_COUNT = 2;
+
+    /**
+     * One node as it is now.
+     *
+     * @param mostPressed the most that it was sent while cold, as a share of what tips it over
+     */
     public record View(
             String name,
             String zone,
@@ -35,7 +41,8 @@
             int held,
             long served,
             long turnedAway,
-            int connections) {}
+            int connections,
+            double mostPressed) {}
 
     private final RealTime time;
     private final Discovery discovery;
@@ -53,6 +60,15 @@
      * a relay in front of it listens. {@code front} is called once for each node, on the stand-ins' thread.
      */
     public Deployment(int count, long notice, UnaryOperator<InetSocketAddress> front) throws IOException {
+        this(count, notice, WORK, front);
+    }
+
+    /**
+     * As {@link #Deployment(int, long, UnaryOperator)}, with the mean work of each class of requests, in nanoseconds of
+     * one of a node's four cores.
+     */
+    public Deployment(int count, long notice, Map<String, Double> work, UnaryOperator<InetSocketAddress> front)
+            throws IOException {
         this.notice = notice;
         time = new RealTime();
         discovery = new Discovery();
@@ -68,7 +84,7 @@
                         11,
                         n -> {});
                 group.add(node, false);
-                PgNode pg = new PgNode(time, node, records, WORK);
+                PgNode pg = new PgNode(time, node, records, work);
                 nodes.add(pg);
                 discovery.show(entry(i, front.apply(pg.address())));
             }
@@ -196,7 +212,8 @@
                         n.held(),
                         n.served(),
                         n.turnedAway(),
-                        n.connections()));
+                        n.connections(),
+                        n.mostPressed()));
             }
             return views;
         });
@@ -218,6 +235,11 @@
 
     /** The platform's configuration for a router of this deployment; {@code listen} is an address with a port. */
     public String config(String name, String zone, String listen) {
+        return config(name, zone, listen, DEFAULT_ROUTERS_COUNT);
+    }
+
+    /** As {@link #config(String, String, String)}, for one of so many routers. */
+    public String config(String name, String zone, String listen, int routers) {
         InetSocketAddress at = discovery.address();
         String json = String.format(
                 Locale.ROOT,
@@ -236,7 +258,7 @@
            {"name": "reading-upload", "aim": 300000000, "giveUp": 3000000000, "gain": 6.0, "lateWorth": 0.3,
             "semantics": "side_effect"}],
           "discovery": "on_request", "hostTypes": ["std"], "zones": ["mona", "papine"], "zone": %d, "me": 0,
-          "replicasOfMe": 2, "step": 2000000, "overShareWorth": 0.1, "realms": [],
+          "replicasOfMe": %d, "step": 2000000, "overShareWorth": 0.1, "realms": [],
           "familyInfo": {"serverChecks": "off", "holdsFor": 0, "progressTold": true, "tokenMode": "kept",
            "showsRole": "trailing", "oldestData": [300000000, 0, 0],
            "readLevel": ["lag_bound", "eventual", "mutate"]},
@@ -248,7 +270,8 @@
                 listen,
                 at.getAddress().getHostAddress() + ":" + at.getPort(),
                 name.hashCode(),
-                Math.max(0, ZONES.indexOf(zone)));
+                Math.max(0, ZONES.indexOf(zone)),
+                routers);
         JsonObject config = JsonParser.parseString(json).getAsJsonObject();
         config.add("known", JsonParser.parseString(discovery.known()));
         return config.toString();
