Take a server for restarted only when its listed start is a later one

Cause: each list's boot_ms was converted anew to the router's clock, and compared by ">". The two clocks are compared in each turn of the event loop, so that the same start comes out later in about half of the lists. Change: ServerDirectory converts a start once, when its Unix time is later than the known one.

--- a/router/src/main/java/stoatrill/core/ServerDirectory.java
+++ b/router/src/main/java/stoatrill/core/ServerDirectory.java
@@ -71,24 +71,34 @@
         if (!server.isListed) {
             pool.closeIdleConnections(server);
         }
-        long startedAt =
-                entry.startedAtMillis() <= 0 ? 0 : Math.min(now, clocks.fromWallMillis(entry.startedAtMillis()));
+        recordStart(now, server, entry.startedAtMillis());
         return new ListEntry(
                 server.id,
                 entry.group(),
                 indexOf(setup.zones(), entry.zone()),
                 indexOf(setup.models(), entry.model()),
                 entry.relativeCapacity(),
-                startedAt,
+                server.startedAt,
                 entry.isPrimary(),
                 entry.state());
     }
 
+    /**
+     * Records a start that is later than the known one. Each start is converted to this router's clock only once: the
+     * difference between the clocks changes all the time, and the same start must not look like a later one.
+     */
+    private void recordStart(long now, ServerPool.Server server, long startedAtMillis) {
+        if (startedAtMillis > server.startedAtMillis) {
+            server.startedAtMillis = startedAtMillis;
+            server.startedAt = Math.min(now, clocks.fromWallMillis(startedAtMillis));
+        }
+    }
+
     /** Logs a change of the server's state or start. Of new servers, it logs only those that have started recently. */
     private void logChange(long now, ServerPool.Server server, ServerEntry entry) {
         long age = entry.startedAtMillis() <= 0 ? Long.MAX_VALUE : now - clocks.fromWallMillis(entry.startedAtMillis());
         boolean isNew = server.listedState == null;
-        boolean hasRestarted = server.startedAtMillis != entry.startedAtMillis();
+        boolean hasRestarted = entry.startedAtMillis() > server.startedAtMillis;
         boolean isWorthLogging = isNew
                 ? age < setup.settings().rules().warmUpSpan()
                 : hasRestarted || server.listedState != entry.state();
@@ -98,7 +108,6 @@
                     + (entry.startedAtMillis() <= 0 ? ", started long ago" : ", age " + age / NANOS_PER_MILLI + " ms"));
         }
         server.listedState = entry.state();
-        server.startedAtMillis = entry.startedAtMillis();
     }
 
     private ServerPool.Server add(ServerEntry entry) {
--- a/router/src/main/java/stoatrill/core/ServerPool.java
+++ b/router/src/main/java/stoatrill/core/ServerPool.java
@@ -45,8 +45,10 @@
         boolean isListed = true;
         /** Its state by the last list that named it; null before the first. */
         Gateway.ListedState listedState;
-        /** Unix time in milliseconds of its last start by the last list that named it; 0 for long ago. */
+        /** Unix time in milliseconds of its last start by any list; 0 for long ago. */
         long startedAtMillis;
+        /** The same on this router's clock. */
+        long startedAt;
         /**
          * When this router was notified that the server drains or is gone, at the latest: earlier by the grace if the
          * notification may have counted as told before. {@link #NOT_LEAVING} if there was none.
