Derive the budget of cold servers from answers, never from what is requested

Cause: a router's part of a cold server's budget was its rate of requests divided by the listed servers, bounded by what each warm server had answered. Requests grow when servers leave and clients retry, and the divisor shrinks at the same time. The bound vanished once no warm server had been heard from within 1 s; before that it jumped, since answers smoothed over 3 s were divided by the number of servers heard from within 1 s. So the limit failed open exactly when it was needed. In addition every router could save up one attempt for each cold server, 52 of them for one moment.

Change: a router's part is what a warm server has answered to it, in the mean over those listed, times the part of its capacity that the cold server has reached. While no warm server is listed, the estimate holds. A router that does not know it yet, such as a new one, starts with its share of what a server does that handles one request at a time, and goes on by what the cold server itself answers. Answers can't exceed what servers can do, so the parts of all routers add up to less than the budget whatever is requested. Permits are granted by chance and expire after half the rule's span. The used share of the budget goes from 0.4 to 0.5.

--- a/router/src/main/java/stoatrill/Decide.java
+++ b/router/src/main/java/stoatrill/Decide.java
@@ -413,7 +413,7 @@
                 // Without session reads, the recorded commits would accumulate unread.
                 && Arrays.stream(classes).anyMatch(c -> c.consistency() == Consistency.SESSION);
         this.random = new SplittableRandom(seed);
-        this.slowStart = new SlowStart(rules, random);
+        this.slowStart = new SlowStart(rules, settings.gatewayCount(), random);
         // An agent that pushes lists answers a call at once and at no cost, and its list binds immediately.
         long firstWait =
                 settings.listOnRequest() ? LIST_RETRY_NANOS : Math.min(LIST_RETRY_NANOS, rules.drainGrace() / 4);
@@ -458,7 +458,6 @@
                     replication.clientsCarryTokens() ? carriedPosition : sessionCommits.requiredPosition(session);
         }
         requestsById.put(id, request);
-        slowStart.recordRequest(now);
         retryBudget = Math.min(RETRY_BUDGET_LIMIT, Math.max(0, retryBudget) + RETRY_BUDGET_RATIO);
         gateway.startTimer(Math.max(0, deadline - now - settings.tick()), id);
         routeRequest(request);
@@ -499,7 +498,7 @@
                 || request.requestClass.consistency() == Consistency.FRESH) {
             boolean isReady = primary != null && takesWrites(primary) && primary.busyUntil <= now;
             request.route = Route.PRIMARY;
-            return isReady && slowStartAllows(primary) ? primary : null;
+            return isReady && slowStartAllows(primary, request) ? primary : null;
         }
         MemberState chosen = drawReplica(request, true);
         if (chosen == null && probeForPosition(request, true)) {
@@ -528,7 +527,7 @@
                         ? isEligible(candidate, request)
                         : isListed(candidate)
                                 && isFreshEnough(candidate, request)
-                                && slowStartAllows(candidate)
+                                && slowStartAllows(candidate, request)
                                 && !wasTried(request, candidate);
                 chosen = isAllowed
                                 && (chosen == null
@@ -613,7 +612,7 @@
                 && !isEjected(member)
                 && !wasTried(request, member)
                 && isFreshEnough(member, request)
-                && slowStartAllows(member);
+                && slowStartAllows(member, request);
     }
 
     /**
@@ -996,7 +995,7 @@
         }
         while (write != null && group.nextSearchIndex < group.members.size()) {
             MemberState member = group.members.get(group.nextSearchIndex++);
-            if (takesWrites(member) && isListed(member) && slowStartAllows(member)) {
+            if (takesWrites(member) && isListed(member) && slowStartAllows(member, write)) {
                 group.searchingRequest = write;
                 write.route = Route.PRIMARY_SEARCH;
                 sendAttempt(write, member);
@@ -1115,7 +1114,6 @@
         recordReachable(member);
         member.isSuspected = false;
         member.lastHeardAt = now;
-        member.warmUp.recordHeard(now);
     }
 
     /**
@@ -1182,12 +1180,12 @@
         }
     }
 
-    /** Whether slow start permits one more request to the server now. */
-    private boolean slowStartAllows(MemberState member) {
+    /** Whether slow start permits the request at the server now. */
+    private boolean slowStartAllows(MemberState member, RequestState request) {
         if (!slowStart.isCold(member.warmUp, now)) {
             return true;
         }
-        boolean isAllowed = slowStart.allows(member.warmUp, now);
+        boolean isAllowed = slowStart.allows(member.warmUp, usualLatency(request), now);
         gateway.count("slow start", isAllowed ? "allowed" : "withheld");
         return isAllowed;
     }
@@ -1292,7 +1290,7 @@
         member.isDraining = isDraining;
         member.isMissing = isGone;
         member.isGone = isGone && rules.removalBinds();
-        member.warmUp.setListed(isListed(member));
+        slowStart.setListed(member.warmUp, isListed(member));
     }
 
     @Override
--- a/router/src/main/java/stoatrill/slowstart/ServerWarmUp.java
+++ b/router/src/main/java/stoatrill/slowstart/ServerWarmUp.java
@@ -1,6 +1,11 @@
 package stoatrill.slowstart;
 
-/** The slow-start state of one server at one router. Times are nanoseconds of the router's clock. Not thread-safe. */
+import stoatrill.estimate.DecayingRate;
+
+/**
+ * The slow-start state of one server at one router, which {@link SlowStart} alone changes. Times are nanoseconds of the
+ * router's clock. Not thread-safe.
+ */
 public final class ServerWarmUp {
     /** A start so long ago that the server is warm. */
     static final long LONG_AGO = Long.MIN_VALUE;
@@ -10,20 +15,23 @@
     /** Whether the server is on the list and does not drain. */
     boolean isListed;
 
-    /** When the server last answered an attempt. */
-    long heardAt = LONG_AGO;
-
     /** When the server started, if it may be cold; else {@link #LONG_AGO}. */
     long startedAt = LONG_AGO;
 
+    /** The rate of its answers since it started; null before any start. */
+    DecayingRate answerRate;
+
     /** Attempts that may be sent now. */
-    double tokens;
+    int permitCount;
+
+    /** When a permit was last granted. */
+    long grantedAt;
 
-    /** When the tokens were last brought up to date. */
-    long filledAt;
+    /** Until when the time has been used to grant permits. */
+    long grantedUntil;
 
-    /** Attempts a second that were allowed when the tokens were last brought up to date. */
-    double tokensPerSecond;
+    /** Attempts a second that were allowed when permits were last granted. */
+    double permitsPerSecond;
 
     /** Attempts sent since the last description. */
     int sentCount;
@@ -34,14 +42,4 @@
     ServerWarmUp(long serverId) {
         this.serverId = serverId;
     }
-
-    /** Sets whether the server is on the list and does not drain. */
-    public void setListed(boolean listed) {
-        isListed = listed;
-    }
-
-    /** Records that the server answered an attempt. */
-    public void recordHeard(long now) {
-        heardAt = now;
-    }
 }
--- a/router/src/main/java/stoatrill/slowstart/SlowStart.java
+++ b/router/src/main/java/stoatrill/slowstart/SlowStart.java
@@ -7,44 +7,72 @@
 import java.util.SplittableRandom;
 import stoatrill.Gateway.Rules;
 import stoatrill.estimate.DecayingRate;
+import stoatrill.estimate.ServerThroughput;
 
 /**
- * Limits the attempts of one router to cold servers. The budget of a cold server grows as it warms up (rule 4). It is
- * shared by all routers: each takes the share that its own traffic has. Times are nanoseconds of the router's clock.
- * Not thread-safe.
+ * Limits the attempts of one router to cold servers (rule 4). The rules give a cold server a budget: a multiple of what
+ * it can do at the moment. All routers share the budget without talking to each other, so each takes a part such that
+ * all parts add up to less than the budget, whatever is requested.
+ *
+ * <p>A router's part is derived from what servers have answered here, and never from what is requested: requests grow
+ * without bound when servers leave and clients retry, but servers answer no more than they can. The part is what a warm
+ * server has answered to this router, times the share of its capacity that the cold server has reached. While no warm
+ * server is listed, the last estimate holds. A router that has hardly had answers from warm servers, such as a new one,
+ * takes as its part what the cold server itself answers to it.
+ *
+ * <p>Times are nanoseconds of the router's clock. Not thread-safe.
  */
 public final class SlowStart {
     private static final double NANOS_PER_SECOND = 1e9;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /** Share of the rules' budget that is used; the rest covers traffic of others that is not seen here. */
-    private static final double BUDGET_SHARE = 0.4;
+    /** Share of the rules' budget that is used; the rest covers chance, and routers that don't know of the start. */
+    private static final double BUDGET_SHARE = 0.5;
 
-    /** Time constant of the rates of requests and answers. */
-    private static final double RATE_TIME_CONSTANT_NANOS = 3e9;
+    /**
+     * By how much of the rules' multiple above 1 the attempts may exceed what the server answers, so that they grow
+     * while it keeps up.
+     */
+    private static final double GROWTH_SHARE = 0.25;
+
+    /** Requests in the span over which overload counts, below which the rules allow more for chance. */
+    private static final double SMALL_BUDGET_COUNT = 30;
+
+    /** Time constant of the throughput of warm servers. */
+    private static final double WARM_TIME_CONSTANT_NANOS = 10e9;
 
-    /** A warm server heard from within this span counts as one that answers. */
-    private static final long RECENTLY_HEARD_NANOS = 1000 * NANOS_PER_MILLI;
+    /** The span over which the throughput of warm servers is averaged at least. */
+    private static final double WARM_LEAST_SPAN_NANOS = 1e9;
+
+    /** Answers from warm servers from which on their throughput is known. */
+    private static final int KNOWN_ANSWER_COUNT = 10;
 
     private final Rules rules;
+    private final int routerCount;
     private final SplittableRandom random;
     private final List<ServerWarmUp> servers = new ArrayList<>();
-    private final DecayingRate requestRate = new DecayingRate(RATE_TIME_CONSTANT_NANOS);
+    private final ServerThroughput warmThroughput =
+            new ServerThroughput(WARM_TIME_CONSTANT_NANOS, WARM_LEAST_SPAN_NANOS);
+
+    /** The number of listed warm servers as of {@code countedAt}. */
+    private int warmCount;
 
-    /** The rate of answers from servers that are not cold. */
-    private final DecayingRate warmAnswerRate = new DecayingRate(RATE_TIME_CONSTANT_NANOS);
+    private long countedAt;
+    private boolean isCountOutdated;
 
     /**
      * Creates the limits of one router.
      *
-     * @param random the source of the initial budgets
+     * @param routerCount the number of routers that share the budgets, at least 1
+     * @param random decides when a part of less than one attempt is used
      */
-    public SlowStart(Rules rules, SplittableRandom random) {
+    public SlowStart(Rules rules, int routerCount, SplittableRandom random) {
         this.rules = rules;
+        this.routerCount = routerCount;
         this.random = random;
     }
 
-    /** Adds a server, which counts as warm until {@link #begin}. */
+    /** Adds a server, which counts as warm until {@link #begin} and as not listed until {@link #setListed}. */
     public ServerWarmUp add(long serverId) {
         ServerWarmUp server = new ServerWarmUp(serverId);
         servers.add(server);
@@ -54,6 +82,13 @@
     /** Removes a server that is no longer known. */
     public void remove(ServerWarmUp server) {
         servers.remove(server);
+        isCountOutdated = true;
+    }
+
+    /** Sets whether the server is on the list and does not drain. */
+    public void setListed(ServerWarmUp server, boolean isListed) {
+        server.isListed = isListed;
+        isCountOutdated = true;
     }
 
     /** Whether the server may still be warming up. */
@@ -64,52 +99,95 @@
     /** Begins the slow start of a server that started, or may have restarted, at {@code startedAt}. */
     public void begin(ServerWarmUp server, long startedAt, long now) {
         server.startedAt = startedAt;
-        server.filledAt = now;
-        server.tokens = random.nextDouble();
-    }
-
-    /** Records a request of a client. */
-    public void recordRequest(long now) {
-        requestRate.recordEvent(now);
+        server.answerRate = new DecayingRate((double) rules.overloadSpan());
+        server.permitCount = 0;
+        server.grantedUntil = now;
+        isCountOutdated = true;
     }
 
     /** Records that the server served an attempt. */
     public void recordAnswer(ServerWarmUp server, long now) {
-        if (!isCold(server, now)) {
-            warmAnswerRate.recordEvent(now);
+        if (isCold(server, now)) {
+            server.answerRate.recordEvent(now);
+        } else if (server.isListed) {
+            countWarm(now);
+            warmThroughput.recordAnswer(Math.max(1, warmCount), now);
         }
     }
 
     /** Charges the server's budget for an attempt. */
     public void recordSent(ServerWarmUp server) {
-        server.tokens--;
+        server.permitCount = Math.max(0, server.permitCount - 1);
         server.sentCount++;
     }
 
     /**
-     * Whether one more attempt may be sent to the server now. Where a router's share of the budget is less than one
-     * request, a random initial budget decides when it sends one.
+     * Whether one more attempt may be sent to the server now.
      *
-     * <p>The rate of requests counts, not the rate of attempts sent: if all servers were thought cold, their budgets
-     * would otherwise stay empty. The rate is limited to what each warm server answers here, since under overload more
-     * is requested than any server could handle.
+     * @param serviceNanos the usual time that a server takes for such a request, positive
      */
-    public boolean allows(ServerWarmUp server, long now) {
+    public boolean allows(ServerWarmUp server, double serviceNanos, long now) {
         if (!isCold(server, now)) {
             return true;
         }
-        double ownRate = requestRate.perSecond(now) / Math.max(1, listedCount());
-        int warmCount = warmCount(now);
-        if (warmCount > 0) {
-            ownRate = Math.min(ownRate, warmAnswerRate.perSecond(now) / warmCount);
+        countWarm(now);
+        server.permitsPerSecond = ownPart(server, serviceNanos, now);
+        grantPermits(server, now);
+        server.withheldCount += server.permitCount == 0 ? 1 : 0;
+        return server.permitCount > 0;
+    }
+
+    /**
+     * This router's part of the budget, in attempts a second. The parts of all routers add up to less than the budget:
+     * the warm servers have answered what the parts are derived from, or the cold one has, and any server handles one
+     * request at a time.
+     */
+    private double ownPart(ServerWarmUp server, double serviceNanos, long now) {
+        double capacityShare = capacityShare(server, now);
+        double least = leastBudget(capacityShare * NANOS_PER_SECOND / serviceNanos) / routerCount;
+        if (isWarmThroughputKnown()) {
+            return Math.max(
+                    least, BUDGET_SHARE * rules.overloadMultiple() * capacityShare * warmThroughput.perSecond());
+        }
+        double growth = 1 + GROWTH_SHARE * (rules.overloadMultiple() - 1);
+        return least + growth * server.answerRate.perSecond(now);
+    }
+
+    /**
+     * The attempts a second from all routers to a server that can do {@code throughput} requests a second. This
+     * includes a part of what the rules allow for chance, which is most of the budget of a small server.
+     */
+    private double leastBudget(double throughput) {
+        double spanSeconds = rules.overloadSpan() / NANOS_PER_SECOND;
+        double allowed = rules.overloadMultiple() * throughput * spanSeconds;
+        double chance = allowed < SMALL_BUDGET_COUNT ? 3 * Math.sqrt(allowed) + 3 : 2 * Math.sqrt(allowed) + 2;
+        return BUDGET_SHARE * (allowed + chance) / spanSeconds;
+    }
+
+    private boolean isWarmThroughputKnown() {
+        return warmThroughput.answerCount() >= KNOWN_ANSWER_COUNT;
+    }
+
+    /**
+     * Grants the permits of the time since the last grant. Permits that are not used expire after half the span over
+     * which overload counts. A fraction of a permit is granted by chance, so that routers whose parts are less than one
+     * attempt don't all save up for one and use it at the same moment.
+     */
+    private void grantPermits(ServerWarmUp server, long now) {
+        double lifetimeNanos = rules.overloadSpan() / 2.0;
+        if (now - server.grantedAt > lifetimeNanos) {
+            server.permitCount = 0;
+        }
+        double elapsedNanos = Math.min((double) (now - server.grantedUntil), lifetimeNanos);
+        double expectedCount = server.permitsPerSecond * elapsedNanos / NANOS_PER_SECOND;
+        int grantedCount = (int) expectedCount;
+        grantedCount += random.nextDouble() < expectedCount - grantedCount ? 1 : 0;
+        server.grantedUntil = now;
+        if (grantedCount > 0) {
+            double limit = Math.max(1, server.permitsPerSecond * lifetimeNanos / NANOS_PER_SECOND);
+            server.permitCount = (int) Math.min(server.permitCount + grantedCount, limit);
+            server.grantedAt = now;
         }
-        server.tokensPerSecond = BUDGET_SHARE * rules.overloadMultiple() * capacityShare(server, now) * ownRate;
-        double tokenLimit = Math.max(1, server.tokensPerSecond * rules.overloadSpan() / NANOS_PER_SECOND / 2);
-        double earned = server.tokensPerSecond * (now - server.filledAt) / NANOS_PER_SECOND;
-        server.tokens = Math.min(Math.max(0, server.tokens) + earned, tokenLimit);
-        server.filledAt = now;
-        server.withheldCount += server.tokens < 1 ? 1 : 0;
-        return server.tokens >= 1;
     }
 
     /** The share of its full capacity that a cold server has reached at least. */
@@ -118,22 +196,19 @@
         return rules.coldStartShare() + (1 - rules.coldStartShare()) * warmUpProgress;
     }
 
-    private int listedCount() {
-        int count = 0;
-        for (ServerWarmUp server : servers) {
-            count += server.isListed ? 1 : 0;
+    /** Counts the warm servers, and the time until now for those counted before. */
+    private void countWarm(long now) {
+        if (countedAt == now && !isCountOutdated) {
+            return;
         }
-        return count;
-    }
-
-    /** The number of listed servers that are warm and were heard from recently. */
-    private int warmCount(long now) {
+        warmThroughput.advance(warmCount, now);
         int count = 0;
         for (ServerWarmUp server : servers) {
-            boolean isWarm = server.isListed && !isCold(server, now);
-            count += isWarm && server.heardAt > now - RECENTLY_HEARD_NANOS ? 1 : 0;
+            count += server.isListed && !isCold(server, now) ? 1 : 0;
         }
-        return count;
+        warmCount = count;
+        countedAt = now;
+        isCountOutdated = false;
     }
 
     /**
@@ -149,26 +224,26 @@
             server.sentCount = 0;
             server.withheldCount = 0;
         }
-        return budgets.length() == 0 ? Optional.empty() : Optional.of(describeInputs(now) + budgets);
+        return budgets.length() == 0 ? Optional.empty() : Optional.of(describeInputs() + budgets);
     }
 
-    private String describeInputs(long now) {
+    private String describeInputs() {
         return String.format(
                 Locale.ROOT,
-                "slow start: requests %.1f/s, servers listed %d, warm %d answering %.1f/s",
-                requestRate.perSecond(now),
-                listedCount(),
-                warmCount(now),
-                warmAnswerRate.perSecond(now));
+                "slow start: %d warm servers listed, each answers %.2f/s here%s",
+                warmCount,
+                warmThroughput.perSecond(),
+                isWarmThroughputKnown() ? "" : " (not yet known)");
     }
 
     private static String describe(ServerWarmUp server, long now) {
         return String.format(
                 Locale.ROOT,
-                "; server %d: age %d ms, budget %.2f/s, sent %d, withheld %d",
+                "; server %d: age %d ms, answers %.2f/s, budget %.2f/s, sent %d, withheld %d",
                 server.serverId,
                 (now - server.startedAt) / NANOS_PER_MILLI,
-                server.tokensPerSecond,
+                server.answerRate.perSecond(now),
+                server.permitsPerSecond,
                 server.sentCount,
                 server.withheldCount);
     }
