Play the overload of cold servers with other faults and in fleets of other sizes

Change: SlowStartBudgetTest plays five cases with real processes (no warm server left, one left, routers that start again, routers that stand still, servers that start twice), and FleetBoundsTest a loss of warm servers in the model for 2, 20, 52 and 200 routers while half of the routers restart and ten times as much is asked for.

--- a/lab/src/test/java/stoatrill/lab/rig/SlowStartBudgetTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/SlowStartBudgetTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import stoatrill.standins.model.Node;
 import stoatrill.standins.net.Deployment;
 
@@ -20,7 +20,7 @@
  * Servers that have just started are overloaded when the warm ones stop answering, since a router's part of their
  * budget then follows the demand. Real routers, servers and clients on loopback.
  */
-@Timeout(120)
+@Timeout(180)
 class SlowStartBudgetTest {
     private static final int ROUTERS = 8;
     private static final int NODES = 8;
@@ -29,6 +29,7 @@
     private static final int CLIENTS_COUNT = 40;
     private static final int FURTHER_CLIENTS_COUNT = 360;
     private static final int READS_BEFORE = 2000;
+    private static final int READS_WHILE_PAUSED = 200;
     private static final int READS_AFTER = 10_000;
     private static final long NOTICE_NANOS = 50_000_000L;
 
@@ -42,43 +43,85 @@
 
     private final List<RouterProc> routers = new ArrayList<>();
 
-    /** {@code restartsRouters}: the routers start again once the warm servers are gone, and know only cold ones. */
+    /** What happens beside the restart of servers and the loss of warm ones. */
+    private enum Case {
+        /** All warm servers end. */
+        NO_WARM_SERVER_LEFT,
+        /** One warm server goes on. */
+        ONE_WARM_SERVER_LEFT,
+        /** The routers start again and know cold servers alone. */
+        ROUTERS_START_AGAIN,
+        /** Half of the routers stand still (SIGSTOP) from the loss until the clients have come. */
+        ROUTERS_PAUSE,
+        /** The cold servers restart once more, just before the loss. */
+        COLD_SERVERS_START_TWICE
+    }
+
     @ParameterizedTest
-    @ValueSource(booleans = {false, true})
-    void coldServersAreNotOverloadedOnceNoWarmOneAnswers(boolean restartsRouters, @TempDir Path dir) throws Exception {
+    @EnumSource
+    void coldServersAreNotOverloadedOnceNoWarmOneAnswers(Case played, @TempDir Path dir) throws Exception {
         try (Deployment deployment = new Deployment(NODES, NOTICE_NANOS, WORK, at -> at);
                 ReadClients clients = new ReadClients(this::ports)) {
             startRouters(deployment, dir);
             clients.add(CLIENTS_COUNT);
             Wait.until(() -> clients.served() >= READS_BEFORE);
-            restartCold(deployment);
-            for (int node : WARM) {
-                deployment.kill(node);
+            restartCold(deployment, 1);
+            if (played == Case.COLD_SERVERS_START_TWICE) {
+                restartCold(deployment, 2);
             }
-            awaitLogged("listed GONE after READY", COLD.size() + WARM.size());
-            if (restartsRouters) {
+            loseWarm(deployment, played);
+            if (played == Case.ROUTERS_START_AGAIN) {
                 routers.forEach(RouterProc::kill);
                 startRouters(deployment, dir);
             }
             clients.add(FURTHER_CLIENTS_COUNT);
+            if (played == Case.ROUTERS_PAUSE) {
+                long paused = clients.asked();
+                Wait.until(() -> clients.asked() >= paused + READS_WHILE_PAUSED);
+                signalHalf("CONT");
+            }
             long asked = clients.asked();
             Wait.until(() -> clients.asked() >= asked + READS_AFTER);
-            List<Deployment.View> nodes = deployment.views();
-            for (int node : COLD) {
-                System.out.printf(
-                        "%s: %.2f of what tips it over%n",
-                        nodes.get(node).name(), nodes.get(node).mostPressed());
-            }
-            for (int node : COLD) {
-                assertEquals(Node.State.UP, nodes.get(node).state(), nodes.toString());
-                assertTrue(nodes.get(node).mostPressed() < 1, nodes.toString());
-                assertTrue(nodes.get(node).served() > 0, "no attempt was sent to it: the test shows nothing");
-            }
+            checkCold(played, deployment.views());
         } finally {
             routers.forEach(RouterProc::kill);
         }
     }
 
+    private static void checkCold(Case played, List<Deployment.View> nodes) {
+        for (int node : COLD) {
+            System.out.printf(
+                    "%s: %s was sent %.2f of what tips it over%n",
+                    played, nodes.get(node).name(), nodes.get(node).mostPressed());
+        }
+        for (int node : COLD) {
+            assertEquals(Node.State.UP, nodes.get(node).state(), nodes.toString());
+            assertTrue(nodes.get(node).mostPressed() < 1, nodes.toString());
+            assertTrue(nodes.get(node).served() > 0, "no attempt was sent to it: the test shows nothing");
+        }
+    }
+
+    /** Ends warm servers; returns once every router that runs knows that they are gone. */
+    private void loseWarm(Deployment deployment, Case played) throws Exception {
+        int lostCount = played == Case.ONE_WARM_SERVER_LEFT ? WARM.size() - 1 : WARM.size();
+        if (played == Case.ROUTERS_PAUSE) {
+            signalHalf("STOP");
+        }
+        for (int node : WARM.subList(0, lostCount)) {
+            deployment.kill(node);
+        }
+        if (played != Case.ROUTERS_PAUSE) {
+            int restarts = played == Case.COLD_SERVERS_START_TWICE ? 2 : 1;
+            awaitLogged("listed GONE after READY", restarts * COLD.size() + lostCount);
+        }
+    }
+
+    private void signalHalf(String signal) throws IOException {
+        for (RouterProc router : routers.subList(0, ROUTERS / 2)) {
+            router.signal(signal);
+        }
+    }
+
     private List<Integer> ports() {
         synchronized (routers) {
             return routers.stream()
@@ -110,16 +153,16 @@
         }
     }
 
-    /** Restarts the nodes that are to be cold; returns once every router knows of it. */
-    private void restartCold(Deployment deployment) throws Exception {
+    /** Restarts the nodes that are to be cold, for the given time; returns once every router knows of it. */
+    private void restartCold(Deployment deployment, int time) throws Exception {
         for (int node : COLD) {
             deployment.kill(node);
         }
-        awaitLogged("listed GONE after READY", COLD.size());
+        awaitLogged("listed GONE after READY", time * COLD.size());
         for (int node : COLD) {
             deployment.start(node);
         }
-        awaitLogged("was started", COLD.size());
+        awaitLogged("was started", time * COLD.size());
     }
 
     /** Waits until every router has logged so many lines with this text. */
--- a/lab/src/test/java/stoatrill/lab/world/FleetBoundsTest.java
+++ b/lab/src/test/java/stoatrill/lab/world/FleetBoundsTest.java
@@ -24,7 +24,8 @@
  * tests each plant the lack of what bounds one of them, and must see that bound broken.
  */
 class FleetBoundsTest {
-    private static final String DAY = "day 20s\nmodel {\n groups 3\n nodes 18\n cores 4\n load 45%\n speed-spread 5%\n";
+    private static final String DAY = "day 20s\nmodel {\n cores 4\n speed-spread 5%\n";
+    private static final String THREE_GROUPS = " groups 3\n nodes 18\n load 45%\n";
 
     private static World play(
             int routers, String model, String troubles, BiFunction<Gateway, Policy.Sight, Gateway.Events> decisions)
@@ -40,7 +41,7 @@
             long seed)
             throws Exception {
         World world = new World(
-                WorldTest.plan(DAY + " routers " + routers + "\n" + model + "}\n" + troubles), seed, decisions);
+                WorldTest.plan(DAY + " routers " + routers + "\n" + sized(model) + "}\n" + troubles), seed, decisions);
         world.run();
         if (decisions == null) {
             assertEquals(Map.of(), world.audit().counts(), world.audit().first().toString());
@@ -48,6 +49,10 @@
         return world;
     }
 
+    private static String sized(String model) {
+        return model.contains("nodes") ? model : THREE_GROUPS + model;
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 3, 14, 100})
     void whatAllRoutersAddUpToStaysBounded(int routers) throws Exception {
@@ -141,6 +146,31 @@
         }
     }
 
+    /** Half of the nodes return cold, then a zone goes and clients ask for a multiple of what is left. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 20, 52, 200})
+    void coldNodesBearTheSumOfAllRoutersOnceFewWarmOnesAreLeft(int routers) throws Exception {
+        String model = """
+                 groups 1
+                 nodes 10
+                 load 60%
+                 warm-after 16s
+                 cold-from 24%
+                 backoff 20ms
+                 list-notice 100ms..200ms
+                 client-retries 8
+                """;
+        String troubles = trouble("node-crash", "at 2s; for 2s; part 50%; size 0%")
+                + trouble("zone-crash", "at 8s; for 5s")
+                + trouble("router-restart", "at 10s; for 1s; part 50%; size 50%; extra 300ms")
+                + trouble("jump", "at 7s; for 6s; size 10; extra 500ms");
+        for (long seed = 81; seed <= 84; seed++) {
+            double pressed = play(routers, model, troubles, null, seed).mostPressed();
+            System.out.printf("%d routers, seed %d: a cold node was sent %.2f of its budget%n", routers, seed, pressed);
+            assertTrue(pressed > 0 && pressed < 0.8, routers + " routers, seed " + seed + ": " + pressed);
+        }
+    }
+
     @Test
     void aModuleThatTakesColdNodesForWarmIsSeen() throws Exception {
         for (int routers : new int[] {3, 100}) {
