--- a/lab/src/test/java/stoatrill/lab/rig/SlowStartBudgetTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/SlowStartBudgetTest.java
@@ -22,15 +22,15 @@
  */
 @Timeout(180)
 class SlowStartBudgetTest {
-    private static final int ROUTERS = 8;
-    private static final int NODES = 8;
+    private static final int ROUTERS_COUNT = 8;
+    private static final int NODES_COUNT = 8;
     private static final List<Integer> COLD = List.of(5, 6, 7);
     private static final List<Integer> WARM = List.of(0, 1, 2, 3, 4);
     private static final int CLIENTS_COUNT = 40;
     private static final int FURTHER_CLIENTS_COUNT = 360;
-    private static final int READS_BEFORE = 2000;
-    private static final int READS_WHILE_PAUSED = 200;
-    private static final int READS_AFTER = 10_000;
+    private static final int READS_BEFORE_COUNT = 2000;
+    private static final int READS_WHILE_PAUSED_COUNT = 200;
+    private static final int READS_AFTER_COUNT = 10_000;
     private static final long NOTICE_NANOS = 50_000_000L;
 
     /** A node takes 100 such reads a second; one that has just started bears 120 in a second. */
@@ -60,11 +60,11 @@
     @ParameterizedTest
     @EnumSource
     void coldServersAreNotOverloadedOnceNoWarmOneAnswers(Case played, @TempDir Path dir) throws Exception {
-        try (Deployment deployment = new Deployment(NODES, NOTICE_NANOS, WORK, at -> at);
+        try (Deployment deployment = new Deployment(NODES_COUNT, NOTICE_NANOS, WORK, at -> at);
                 ReadClients clients = new ReadClients(this::ports)) {
             startRouters(deployment, dir);
             clients.add(CLIENTS_COUNT);
-            Wait.until(() -> clients.served() >= READS_BEFORE);
+            Wait.until(() -> clients.served() >= READS_BEFORE_COUNT);
             restartCold(deployment, 1);
             if (played == Case.COLD_SERVERS_START_TWICE) {
                 restartCold(deployment, 2);
@@ -77,11 +77,11 @@
             clients.add(FURTHER_CLIENTS_COUNT);
             if (played == Case.ROUTERS_PAUSE) {
                 long paused = clients.asked();
-                Wait.until(() -> clients.asked() >= paused + READS_WHILE_PAUSED);
+                Wait.until(() -> clients.asked() >= paused + READS_WHILE_PAUSED_COUNT);
                 signalHalf("CONT");
             }
             long asked = clients.asked();
-            Wait.until(() -> clients.asked() >= asked + READS_AFTER);
+            Wait.until(() -> clients.asked() >= asked + READS_AFTER_COUNT);
             checkCold(played, deployment.views());
         } finally {
             routers.forEach(RouterProc::kill);
@@ -117,7 +117,7 @@
     }
 
     private void signalHalf(String signal) throws IOException {
-        for (RouterProc router : routers.subList(0, ROUTERS / 2)) {
+        for (RouterProc router : routers.subList(0, ROUTERS_COUNT / 2)) {
             router.signal(signal);
         }
     }
@@ -135,10 +135,10 @@
     private void startRouters(Deployment deployment, Path dir) throws IOException {
         RunLine run = RunLine.find(Path.of(""));
         List<RouterProc> started = new ArrayList<>();
-        for (int i = 0; i < ROUTERS; i++) {
+        for (int i = 0; i < ROUTERS_COUNT; i++) {
             String name = "router" + i;
             String text = deployment
-                    .config(name, i % 2 == 0 ? "mona" : "papine", "127.0.0.1:0", ROUTERS)
+                    .config(name, i % 2 == 0 ? "mona" : "papine", "127.0.0.1:0", ROUTERS_COUNT)
                     .replace(USUAL_CLASS, PATIENT_CLASS);
             assertTrue(text.contains(PATIENT_CLASS), text);
             Path config = Files.writeString(dir.resolve(name + ".json"), text);
--- a/router/src/test/java/stoatrill/core/AnsweredUnderFaultsTest.java
+++ b/router/src/test/java/stoatrill/core/AnsweredUnderFaultsTest.java
@@ -34,7 +34,7 @@
     private static final int REQUEST_COUNT = 20_000;
 
     /** Between the seeds of two plays of one test. */
-    private static final long FURTHER_PLAY_SEED_STEP = 1000;
+    private static final long FURTHER_PLAY_SEED_STEP_SIZE = 1000;
 
     private static final int MOST_PLAYS_COUNT = 3;
     private static final int CLIENT_COUNT = 40;
@@ -290,7 +290,7 @@
         // All servers may drain early in a play; further plays then have the further attempts that are to be checked.
         for (int i = 0; i < MOST_PLAYS_COUNT && (furtherAttempts <= 100 || delayedFurtherAttempts <= 20); i++) {
             AnsweredUnderFaultsTest play = new AnsweredUnderFaultsTest();
-            play.play(seed + i * FURTHER_PLAY_SEED_STEP);
+            play.play(seed + i * FURTHER_PLAY_SEED_STEP_SIZE);
             furtherAttempts += play.furtherAttemptCount;
             delayedFurtherAttempts += play.delayedFurtherAttemptCount;
         }
--- a/router/src/test/java/stoatrill/slowstart/SlowStartTest.java
+++ b/router/src/test/java/stoatrill/slowstart/SlowStartTest.java
@@ -13,16 +13,17 @@
 
 /** All routers together keep the budget of a cold server, whatever is requested and whatever the routers know. */
 class SlowStartTest {
-    private static final long SECOND = 1_000_000_000L;
+    private static final long SECOND_NANOS = 1_000_000_000L;
     private static final long STEP_NANOS = 5_000_000L;
-    private static final long START = 1_700_000_000L * SECOND;
+    private static final long START_NANOS = 1_700_000_000L * SECOND_NANOS;
     private static final double COLD_SHARE = 0.25;
-    private static final double MULTIPLE = 3;
-    private static final long WARM_UP_NANOS = 18 * SECOND;
-    private static final Rules RULES = new Rules(0, 0, 2 * SECOND, COLD_SHARE, WARM_UP_NANOS, MULTIPLE, SECOND, true);
+    private static final double OVERLOAD_FACTOR = 3;
+    private static final long WARM_UP_NANOS = 18 * SECOND_NANOS;
+    private static final Rules RULES =
+            new Rules(0, 0, 2 * SECOND_NANOS, COLD_SHARE, WARM_UP_NANOS, OVERLOAD_FACTOR, SECOND_NANOS, true);
 
     /** What a warm server can do in a second, at 40 ms for each request. */
-    private static final int WARM_PER_SECOND = 100;
+    private static final int WARM_PER_SECOND_COUNT = 100;
 
     private static final double SERVICE_NANOS = 40e6;
 
@@ -69,7 +70,7 @@
     /** Each warm server answers at its limit for this long, to routers drawn at random. */
     private long answerWarm(long from, long span) {
         int warmCount = routers.get(0).warm.size();
-        long gap = SECOND / ((long) WARM_PER_SECOND * warmCount);
+        long gap = SECOND_NANOS / ((long) WARM_PER_SECOND_COUNT * warmCount);
         for (long now = from; now < from + span; now += gap) {
             Router router = routers.get(random.nextInt(routers.size()));
             router.slowStart.recordAnswer(router.warm.get(random.nextInt(warmCount)), now);
@@ -84,7 +85,7 @@
     private void demandEverything(long from, long span, long startedAt) {
         for (long now = from; now < from + span; now += STEP_NANOS) {
             double capacity = capacity(now, startedAt);
-            answersOwed = Math.min(answersOwed + capacity * STEP_NANOS / (double) SECOND, 1);
+            answersOwed = Math.min(answersOwed + capacity * STEP_NANOS / (double) SECOND_NANOS, 1);
             for (int i = 0; i < routers.size(); i++) {
                 Router router = routers.get((i + (int) (now / STEP_NANOS % routers.size())) % routers.size());
                 while (router.slowStart.allows(router.cold, SERVICE_NANOS, now)) {
@@ -97,8 +98,9 @@
                 }
             }
             long until = now;
-            long inSpan = arrivals.stream().filter(at -> at > until - SECOND).count();
-            double allowed = MULTIPLE * capacity;
+            long inSpan =
+                    arrivals.stream().filter(at -> at > until - SECOND_NANOS).count();
+            double allowed = OVERLOAD_FACTOR * capacity;
             double limit = allowed + 2 * Math.sqrt(allowed) + 2;
             assertTrue(inSpan <= limit, inSpan + " in a second at age " + (now - startedAt) + ", limit " + limit);
         }
@@ -106,28 +108,28 @@
 
     private static double capacity(long now, long startedAt) {
         double progress = Math.min(1, (double) (now - startedAt) / WARM_UP_NANOS);
-        return WARM_PER_SECOND * (COLD_SHARE + (1 - COLD_SHARE) * progress);
+        return WARM_PER_SECOND_COUNT * (COLD_SHARE + (1 - COLD_SHARE) * progress);
     }
 
     @ParameterizedTest
     @ValueSource(ints = {1, 3, 52, 300, 1400})
     void routersKeepTheBudgetOfAColdServerOnceNoWarmOneIsLeft(int count) {
         startRouters(count, 9, 1);
-        long now = answerWarm(START, 20 * SECOND);
+        long now = answerWarm(START_NANOS, 20 * SECOND_NANOS);
         for (Router router : routers) {
             router.startCold(now);
             router.loseWarm();
         }
-        demandEverything(now, 6 * SECOND, now);
-        assertTrue(arrivals.size() > 6 * WARM_PER_SECOND * COLD_SHARE / 2, arrivals.size() + " sent in 6 s");
+        demandEverything(now, 6 * SECOND_NANOS, now);
+        assertTrue(arrivals.size() > 6 * WARM_PER_SECOND_COUNT * COLD_SHARE / 2, arrivals.size() + " sent in 6 s");
     }
 
     @ParameterizedTest
     @ValueSource(ints = {1, 3, 52, 300, 1400})
     void newRoutersKeepTheBudgetOfAColdServerThatIsTheOnlyOne(int count) {
         startRouters(count, 0, 100);
-        routers.forEach(router -> router.startCold(START));
-        demandEverything(START, 6 * SECOND, START);
+        routers.forEach(router -> router.startCold(START_NANOS));
+        demandEverything(START_NANOS, 6 * SECOND_NANOS, START_NANOS);
         assertTrue(arrivals.size() > 6, arrivals.size() + " sent in 6 s");
     }
 
@@ -136,34 +138,34 @@
     @ValueSource(ints = {52, 300, 1400})
     void routersThatHaveNotUsedTheColdServerDoNotAllSendAtOnce(int count) {
         startRouters(count, 9, 300);
-        long start = answerWarm(START, 20 * SECOND);
+        long start = answerWarm(START_NANOS, 20 * SECOND_NANOS);
         routers.forEach(router -> router.startCold(start));
-        long now = answerWarm(start, 2 * SECOND);
+        long now = answerWarm(start, 2 * SECOND_NANOS);
         for (Router router : routers) {
             router.slowStart.allows(router.cold, SERVICE_NANOS, now);
             router.loseWarm();
         }
-        demandEverything(now + 2 * SECOND, SECOND, start);
+        demandEverything(now + 2 * SECOND_NANOS, SECOND_NANOS, start);
     }
 
     @Test
     void oneWarmServerOfManyThatIsLeftDoesNotRaiseTheBudget() {
         startRouters(52, 9, 500);
-        long now = answerWarm(START, 20 * SECOND);
+        long now = answerWarm(START_NANOS, 20 * SECOND_NANOS);
         for (Router router : routers) {
             router.startCold(now);
             router.warm.subList(1, 9).forEach(server -> router.slowStart.setListed(server, false));
         }
-        demandEverything(now, 6 * SECOND, now);
+        demandEverything(now, 6 * SECOND_NANOS, now);
     }
 
     @Test
     void aRestartedServerBeginsWithoutThePermitsAndAnswersOfBefore() {
         startRouters(1, 9, 700);
-        long now = answerWarm(START, 20 * SECOND);
+        long now = answerWarm(START_NANOS, 20 * SECOND_NANOS);
         Router router = routers.get(0);
         router.startCold(now);
-        long later = now + SECOND;
+        long later = now + SECOND_NANOS;
         assertTrue(router.slowStart.allows(router.cold, SERVICE_NANOS, later), "a permit after a second");
         router.slowStart.begin(router.cold, later, later);
         assertEquals(0, router.cold.permitCount);
