Excuse what a rig's router owed between the signal of a kill and the end of its process

Cause: the checker took the signal and the end for two instants, and excused a request that spans one of them. A process dies somewhere between the two.

Change: kills and pauses are spans, read by FaultSpans; a request that overlaps the span from kill to killed is excused. One that ended before the signal, or was sent after the end, is not, nor is one at another router.

--- /dev/null
+++ b/lab/src/main/java/stoatrill/lab/rig/FaultSpans.java
@@ -0,0 +1,73 @@
+package stoatrill.lab.rig;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * When each router of a {@link History} was being killed or stood paused. Times are nanoseconds of the rig. Immutable
+ * once it has been read from the lines.
+ */
+final class FaultSpans {
+    private static final long NOT_OVER = Long.MAX_VALUE;
+
+    /** A span of time, both ends included. */
+    private record Span(long from, long to) {
+        boolean overlaps(long start, long end) {
+            return from <= end && to >= start;
+        }
+    }
+
+    private final Map<String, List<Span>> kills = new HashMap<>();
+    private final Map<String, List<Span>> pauses = new HashMap<>();
+
+    private FaultSpans() {}
+
+    /** Reads the faults among the lines of a history. */
+    static FaultSpans of(List<String> lines) {
+        FaultSpans spans = new FaultSpans();
+        for (String line : lines) {
+            String[] words = line.split("\t", -1);
+            if (words[0].equals("fault")) {
+                spans.add(Long.parseLong(words[1]), words[2], words[3]);
+            }
+        }
+        return spans;
+    }
+
+    private void add(long at, String fault, String router) {
+        switch (fault) {
+            case "kill" -> begin(kills, router, at, at);
+            case "killed" -> end(kills, router, at);
+            case "pause" -> begin(pauses, router, at, NOT_OVER);
+            case "resume" -> end(pauses, router, at);
+            default -> {}
+        }
+    }
+
+    private static void begin(Map<String, List<Span>> spans, String router, long from, long to) {
+        spans.computeIfAbsent(router, r -> new ArrayList<>()).add(new Span(from, to));
+    }
+
+    private static void end(Map<String, List<Span>> spans, String router, long to) {
+        List<Span> begun = spans.getOrDefault(router, List.of());
+        if (!begun.isEmpty()) {
+            int last = begun.size() - 1;
+            begun.set(last, new Span(begun.get(last).from(), to));
+        }
+    }
+
+    /**
+     * Whether the router died at some time from {@code start} to {@code end}: a kill takes effect somewhere between the
+     * signal and the end of the process. A kill whose end is not in the history counts at its signal alone.
+     */
+    boolean killedWithin(String router, long start, long end) {
+        return kills.getOrDefault(router, List.of()).stream().anyMatch(span -> span.overlaps(start, end));
+    }
+
+    /** Whether the router stood paused at some time from {@code start} to {@code end}. */
+    boolean pausedWithin(String router, long start, long end) {
+        return pauses.getOrDefault(router, List.of()).stream().anyMatch(span -> span.overlaps(start, end));
+    }
+}
--- a/lab/src/test/java/stoatrill/lab/rig/CheckerTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/CheckerTest.java
@@ -30,6 +30,21 @@
         assertFalse(v.clean());
     }
 
+    @Test
+    void aRequestWithNoAnswerIsExcusedBetweenTheSignalOfAKillAndTheEndOfTheProcess() {
+        List<String> lines = List.of(
+                "op\tbefore\tread\trouter1\t10\t39\tnone",
+                "fault\t40\tkill\trouter1",
+                "op\tother\tread\trouter0\t44\t46\tnone",
+                "op\tbetween\tupload\trouter1\t44\t46\tnone",
+                "op\tacross\tread\trouter1\t48\t55\tnone",
+                "fault\t50\tkilled\trouter1",
+                "op\tafter\tread\trouter1\t51\t60\tnone");
+        Checker.Verdict v = Checker.check(lines);
+        assertEquals(List.of("before", "other", "after"), v.noFinalAnswer());
+        assertEquals(2, v.excused());
+    }
+
     @Test
     void aRouterThatEndedByItselfOrLoggedAnErrorIsNamed() {
         Checker.Verdict v = Checker.check(
