--- a/lab/src/main/java/stoatrill/lab/rig/FaultSpans.java
+++ b/lab/src/main/java/stoatrill/lab/rig/FaultSpans.java
@@ -17,6 +17,10 @@
         boolean overlaps(long start, long end) {
             return from <= end && to >= start;
         }
+
+        long overlapNanos(long start, long end) {
+            return Math.max(0, Math.min(to, end) - Math.max(from, start));
+        }
     }
 
     private final Map<String, List<Span>> kills = new HashMap<>();
@@ -70,4 +74,11 @@
     boolean pausedWithin(String router, long start, long end) {
         return pauses.getOrDefault(router, List.of()).stream().anyMatch(span -> span.overlaps(start, end));
     }
+
+    /** For how long the router stood paused from {@code start} to {@code end}. */
+    long pausedNanos(String router, long start, long end) {
+        return pauses.getOrDefault(router, List.of()).stream()
+                .mapToLong(span -> span.overlapNanos(start, end))
+                .sum();
+    }
 }
