Log every server that a list adds, with the age that the router takes it to have

Of servers new to a router, only those that looked as if they had just started were logged. A server that starts while the router's wall clock is wrong looks old, and so left no line. Those of the first list are still logged only if they are young, so that a start with thousands of servers stays quiet.

--- a/router/src/main/java/stoatrill/core/ServerDirectory.java
+++ b/router/src/main/java/stoatrill/core/ServerDirectory.java
@@ -33,6 +33,9 @@
      */
     private boolean nextNewsMayBeOld = true;
 
+    /** Whether discovery has told a list, so that servers named from now on are new to the fleet. */
+    private boolean isListTold;
+
     /** {@code log} receives a line for each change of a server's state or start that the list shows. */
     ServerDirectory(ServerPool pool, Clocks clocks, Reducer.Setup setup, Consumer<String> log) {
         this.log = log;
@@ -50,6 +53,7 @@
         if (kind == ListKind.FULL) {
             unlistMissing(now, entries);
         }
+        isListTold |= kind == ListKind.DELTA || kind == ListKind.FULL;
         nextNewsMayBeOld = switch (kind) {
             case SILENT, FAILED -> true;
             case CACHED -> !setup.settings().listOnRequest();
@@ -94,13 +98,16 @@
         }
     }
 
-    /** Logs a change of the server's state or start. Of new servers, it logs only those that have started recently. */
+    /**
+     * Logs a change of the server's state or start. Of the servers of the first list, it logs only those that have
+     * started recently.
+     */
     private void logChange(long now, ServerPool.Server server, ServerEntry entry) {
         long age = entry.startedAtMillis() <= 0 ? Long.MAX_VALUE : now - clocks.fromWallMillis(entry.startedAtMillis());
         boolean isNew = server.listedState == null;
         boolean hasRestarted = entry.startedAtMillis() > server.startedAtMillis;
         boolean isWorthLogging = isNew
-                ? age < setup.settings().rules().warmUpSpan()
+                ? isListTold || age < setup.settings().rules().warmUpSpan()
                 : hasRestarted || server.listedState != entry.state();
         if (isWorthLogging) {
             log.accept("server " + server.id + " is " + entry.uid() + " in group " + entry.group() + ", listed "
