Reproduce the overload of cold servers by routers whose wall clocks are stepped, failing

A server that starts after a forward step of the routers' own wall clocks is taken for one that started long ago, and gets no slow start.

What the test waits for after the restarts is the list's line, as routers with a wrong clock log no slow start.

--- a/lab/src/test/java/stoatrill/lab/rig/SlowStartBudgetTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/SlowStartBudgetTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.opentest4j.TestAbortedException;
 import stoatrill.standins.model.Node;
 import stoatrill.standins.net.Deployment;
 
@@ -41,8 +42,13 @@
     /** With the highest worth and a longer aim, reads are refused late, so that the budget alone limits them. */
     private static final String PATIENT_CLASS = "\"aim\":400000000,\"giveUp\":500000000,\"gain\":6.0";
 
+    private static final long HOUR_NANOS = 3_600_000_000_000L;
+
     private final List<RouterProc> routers = new ArrayList<>();
 
+    /** The faults of the routers' clocks, for the cases that step them. */
+    private final List<CallFaults> clocks = new ArrayList<>();
+
     /** What happens beside the restart of servers and the loss of warm ones. */
     private enum Case {
         /** All warm servers end. */
@@ -54,7 +60,11 @@
         /** Half of the routers stand still (SIGSTOP) from the loss until the clients have come. */
         ROUTERS_PAUSE,
         /** The cold servers restart once more, just before the loss. */
-        COLD_SERVERS_START_TWICE
+        COLD_SERVERS_START_TWICE,
+        /** The routers' wall clocks are stepped forward by an hour before the cold servers start. */
+        WALL_CLOCKS_STEP_FORWARD,
+        /** The routers' wall clocks are stepped back by an hour before the cold servers start. */
+        WALL_CLOCKS_STEP_BACK
     }
 
     @ParameterizedTest
@@ -62,9 +72,11 @@
     void coldServersAreNotOverloadedOnceNoWarmOneAnswers(Case played, @TempDir Path dir) throws Exception {
         try (Deployment deployment = new Deployment(NODES_COUNT, NOTICE_NANOS, WORK, at -> at);
                 ReadClients clients = new ReadClients(this::ports)) {
-            startRouters(deployment, dir);
+            startRouters(deployment, played, dir);
             clients.add(CLIENTS_COUNT);
             Wait.until(() -> clients.served() >= READS_BEFORE_COUNT);
+            clocks.forEach(
+                    clock -> clock.stepWallClock(played == Case.WALL_CLOCKS_STEP_FORWARD ? HOUR_NANOS : -HOUR_NANOS));
             restartCold(deployment, 1);
             if (played == Case.COLD_SERVERS_START_TWICE) {
                 restartCold(deployment, 2);
@@ -72,7 +84,7 @@
             loseWarm(deployment, played);
             if (played == Case.ROUTERS_START_AGAIN) {
                 routers.forEach(RouterProc::kill);
-                startRouters(deployment, dir);
+                startRouters(deployment, played, dir);
             }
             clients.add(FURTHER_CLIENTS_COUNT);
             if (played == Case.ROUTERS_PAUSE) {
@@ -132,7 +144,9 @@
         }
     }
 
-    private void startRouters(Deployment deployment, Path dir) throws IOException {
+    private void startRouters(Deployment deployment, Case played, Path dir) throws IOException {
+        boolean areClocksStepped = played == Case.WALL_CLOCKS_STEP_FORWARD || played == Case.WALL_CLOCKS_STEP_BACK;
+        CallFaultLibrary library = areClocksStepped ? buildLibrary(dir) : null;
         RunLine run = RunLine.find(Path.of(""));
         List<RouterProc> started = new ArrayList<>();
         for (int i = 0; i < ROUTERS_COUNT; i++) {
@@ -142,7 +156,8 @@
                     .replace(USUAL_CLASS, PATIENT_CLASS);
             assertTrue(text.contains(PATIENT_CLASS), text);
             Path config = Files.writeString(dir.resolve(name + ".json"), text);
-            started.add(new RouterProc(run, name, config, dir.resolve(name + "." + System.nanoTime() + ".log")));
+            Path log = dir.resolve(name + "." + System.nanoTime() + ".log");
+            started.add(new RouterProc(run, name, config, log, variables(library, name, dir), pid -> {}));
         }
         synchronized (routers) {
             routers.clear();
@@ -153,6 +168,23 @@
         }
     }
 
+    private Map<String, String> variables(CallFaultLibrary library, String router, Path dir) throws IOException {
+        if (library == null) {
+            return Map.of();
+        }
+        CallFaults clock = new CallFaults(dir.resolve(router + ".calls"), 1);
+        clocks.add(clock);
+        return clock.environment(library);
+    }
+
+    private static CallFaultLibrary buildLibrary(Path dir) throws IOException {
+        try {
+            return CallFaultLibrary.build(dir);
+        } catch (CallFaultLibrary.NoCompilerException e) {
+            throw new TestAbortedException("no C compiler here", e);
+        }
+    }
+
     /** Restarts the nodes that are to be cold, for the given time; returns once every router knows of it. */
     private void restartCold(Deployment deployment, int time) throws Exception {
         for (int node : COLD) {
@@ -162,7 +194,7 @@
         for (int node : COLD) {
             deployment.start(node);
         }
-        awaitLogged("was started", time * COLD.size());
+        awaitLogged("listed READY after", time * COLD.size());
     }
 
     /** Waits until every router has logged so many lines with this text. */
