Take a listed start for recent though the router's own wall clock was stepped

What callers saw: with the wall clocks of the routers an hour ahead, servers that started were sent full traffic at once, and all three fell once the warm ones ended (SlowStartBudgetTest, WALL_CLOCKS_STEP_FORWARD).

Cause: a step of the router's wall clock was taken for a step of all clocks. Discovery states starts by its own clock, so that a start just told looked an hour old, and the server warm. Class: a limit that fails open when the input that it is derived from is wrong, as the budget itself in this incident.

Of the times that a start may mean by them, the latest that is not in the future counts: right whether the peers' clocks were stepped or not, and never warmer than before.

Not mended: a router that starts after its clock was stepped has no difference from before it.

--- a/router/src/main/java/stoatrill/core/ServerDirectory.java
+++ b/router/src/main/java/stoatrill/core/ServerDirectory.java
@@ -92,23 +92,29 @@
      * difference between the clocks changes all the time, and the same start must not look like a later one.
      */
     private void recordStart(long now, ServerPool.Server server, long startedAtMillis) {
-        if (startedAtMillis > server.startedAtMillis) {
+        if (hasRestarted(server, startedAtMillis)) {
             server.startedAtMillis = startedAtMillis;
-            server.startedAt = Math.min(now, clocks.fromWallMillis(startedAtMillis));
+            server.startedAt = clocks.startFromWallMillis(startedAtMillis, now);
         }
     }
 
+    /** Whether the listed start is a later one. */
+    private boolean hasRestarted(ServerPool.Server server, long startedAtMillis) {
+        return startedAtMillis > server.startedAtMillis;
+    }
+
     /**
      * Logs a change of the server's state or start. Of the servers of the first list, it logs only those that have
      * started recently.
      */
     private void logChange(long now, ServerPool.Server server, ServerEntry entry) {
-        long age = entry.startedAtMillis() <= 0 ? Long.MAX_VALUE : now - clocks.fromWallMillis(entry.startedAtMillis());
+        long age = entry.startedAtMillis() <= 0
+                ? Long.MAX_VALUE
+                : now - clocks.startFromWallMillis(entry.startedAtMillis(), now);
         boolean isNew = server.listedState == null;
-        boolean hasRestarted = entry.startedAtMillis() > server.startedAtMillis;
         boolean isWorthLogging = isNew
                 ? isListTold || age < setup.settings().rules().warmUpSpan()
-                : hasRestarted || server.listedState != entry.state();
+                : hasRestarted(server, entry.startedAtMillis()) || server.listedState != entry.state();
         if (isWorthLogging) {
             log.accept("server " + server.id + " is " + entry.uid() + " in group " + entry.group() + ", listed "
                     + entry.state() + " after " + (isNew ? "nothing" : server.listedState)
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -114,9 +114,6 @@
     /** Consecutive calls that must be refused a descriptor before the router concludes that none is free. */
     private static final int REFUSAL_LIMIT = 4;
 
-    /** A change of the wall clock against the monotonic clock that is too large for gradual adjustment. */
-    private static final long CLOCK_STEP_NANOS = 50 * NANOS_PER_MILLI;
-
     private static final long COUNTS_INTERVAL_NANOS = 1_000 * NANOS_PER_MILLI;
     /** How long a router with pushed lists waits for its agent, which answers at once, before it serves clients. */
     private static final long FIRST_LIST_WAIT_NANOS = 500 * NANOS_PER_MILLI;
@@ -287,7 +284,7 @@
     /** Called in each iteration, so that wall-clock times of peers are converted with the newest clock difference. */
     private void compareClocks() {
         long stepNanos = clocks.resync(wallClockNanos(), System.nanoTime());
-        if (Math.abs(stepNanos) > CLOCK_STEP_NANOS) {
+        if (Math.abs(stepNanos) > Clocks.STEP_NANOS) {
             LOG.warn("the wall clock was stepped by {} ms", stepNanos / NANOS_PER_MILLI);
         }
     }
