Take a server for restarted though the clocks were set back between its starts

Cause: a start counted as a later one only if its stated time was higher. After a step back of all clocks by an hour, a server that had started within the hour before and starts again states an earlier time: no slow start for it.

Change: an earlier time counts as a restart if it means a later time by this router's clocks (Clocks.startFromWallMillis). The same time never does, nor does an older list while no clock was stepped.

Measured: ListedStartTest, all clocks stepped back by an hour: no start was logged before, one of the right age after.

--- a/router/src/main/java/stoatrill/core/ServerDirectory.java
+++ b/router/src/main/java/stoatrill/core/ServerDirectory.java
@@ -92,15 +92,19 @@
      * difference between the clocks changes all the time, and the same start must not look like a later one.
      */
     private void recordStart(long now, ServerPool.Server server, long startedAtMillis) {
-        if (hasRestarted(server, startedAtMillis)) {
+        if (hasRestarted(now, server, startedAtMillis)) {
             server.startedAtMillis = startedAtMillis;
             server.startedAt = clocks.startFromWallMillis(startedAtMillis, now);
         }
     }
 
-    /** Whether the listed start is a later one. */
-    private boolean hasRestarted(ServerPool.Server server, long startedAtMillis) {
-        return startedAtMillis > server.startedAtMillis;
+    /** Whether the listed start is a later one, also where it is an earlier time since the clocks were set back. */
+    private boolean hasRestarted(long now, ServerPool.Server server, long startedAtMillis) {
+        if (startedAtMillis <= 0 || startedAtMillis == server.startedAtMillis) {
+            return false;
+        }
+        return startedAtMillis > server.startedAtMillis
+                || clocks.startFromWallMillis(startedAtMillis, now) > server.startedAt + Clocks.STEP_NANOS;
     }
 
     /**
@@ -114,7 +118,7 @@
         boolean isNew = server.listedState == null;
         boolean isWorthLogging = isNew
                 ? isListTold || age < setup.settings().rules().warmUpSpan()
-                : hasRestarted(server, entry.startedAtMillis()) || server.listedState != entry.state();
+                : hasRestarted(now, server, entry.startedAtMillis()) || server.listedState != entry.state();
         if (isWorthLogging) {
             log.accept("server " + server.id + " is " + entry.uid() + " in group " + entry.group() + ", listed "
                     + entry.state() + " after " + (isNew ? "nothing" : server.listedState)
--- a/router/src/test/java/stoatrill/core/ListedStartTest.java
+++ b/router/src/test/java/stoatrill/core/ListedStartTest.java
@@ -59,6 +59,17 @@
         assertStartedOnce();
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {HOUR_MILLIS, -HOUR_MILLIS, 5_000, -5_000})
+    void aServerThatJustStartedIsColdThoughAllClocksWereStepped(long stepMillis) throws Exception {
+        Reducer reducer = reducer();
+        reducer.onServerList(START_NANOS, ListKind.CACHED, List.of(startedAt(START_MILLIS - HOUR_MILLIS / 2)));
+        clocks.resync(START_NANOS + stepMillis * NANOS_PER_MILLI, START_NANOS);
+        long now = START_NANOS + AGE_MILLIS * NANOS_PER_MILLI;
+        reducer.onServerList(now, ListKind.DELTA, List.of(startedAt(START_MILLIS + stepMillis)));
+        assertStartedOnce();
+    }
+
     private void assertStartedOnce() {
         assertEquals(1, starts(), log.toString());
         assertTrue(
