Let the part of a cold server's budget grow while listed warm servers answer nothing

What callers saw: warm servers that hang, or that a late list still shows, count as warm. A router's estimate of what they answer then falls by a factor of e in 10 s, and its part of a cold server's budget with it, though that server answers.

Cause: an estimate once known stayed known, however long no answer had confirmed it.

Change: after 5 s without an answer from listed warm servers, a router takes the part of one that has not heard any: what the cold server answers to it, and somewhat more. Time in which no warm server is listed does not count, as before.

--- a/router/src/main/java/stoatrill/estimate/ServerThroughput.java
+++ b/router/src/main/java/stoatrill/estimate/ServerThroughput.java
@@ -17,6 +17,9 @@
     private double spanNanos;
     private long answerCount;
 
+    /** The time since the last answer, without that in which the set was empty. */
+    private long silenceNanos;
+
     /** When the time was last advanced; before any call, no time has passed. */
     private long advancedAt = Long.MAX_VALUE;
 
@@ -36,6 +39,7 @@
         advance(serverCount, now);
         answersPerServer += 1.0 / serverCount;
         answerCount++;
+        silenceNanos = 0;
     }
 
     /** Records that there have been {@code serverCount} servers, 0 or more, since the last call. */
@@ -44,6 +48,7 @@
             double decay = Math.exp((advancedAt - now) / timeConstantNanos);
             answersPerServer *= decay;
             spanNanos = spanNanos * decay + timeConstantNanos * (1 - decay);
+            silenceNanos += now - advancedAt;
         }
         advancedAt = now;
     }
@@ -57,4 +62,9 @@
     public long answerCount() {
         return answerCount;
     }
+
+    /** For how long none of the servers has answered; time in which there are none does not count. */
+    public long silenceNanos() {
+        return silenceNanos;
+    }
 }
--- a/router/src/main/java/stoatrill/slowstart/SlowStart.java
+++ b/router/src/main/java/stoatrill/slowstart/SlowStart.java
@@ -18,7 +18,7 @@
  * without bound when servers leave and clients retry, but servers answer no more than they can. The part is what a warm
  * server has answered to this router, times the share of its capacity that the cold server has reached. While no warm
  * server is listed, the last estimate holds. A router that has hardly had answers from warm servers, such as a new one,
- * takes as its part what the cold server itself answers to it.
+ * or has had none for some time though they are listed, takes as its part what the cold server itself answers to it.
  *
  * <p>Times are nanoseconds of the router's clock. Not thread-safe.
  */
@@ -47,6 +47,9 @@
     /** Answers from warm servers from which on their throughput is known. */
     private static final int KNOWN_ANSWER_COUNT = 10;
 
+    /** For how long listed warm servers may answer nothing here before their throughput counts as unknown. */
+    private static final long SILENCE_LIMIT_NANOS = 5_000_000_000L;
+
     private final Rules rules;
     private final int routerCount;
     private final SplittableRandom random;
@@ -165,7 +168,8 @@
     }
 
     private boolean isWarmThroughputKnown() {
-        return warmThroughput.answerCount() >= KNOWN_ANSWER_COUNT;
+        return warmThroughput.answerCount() >= KNOWN_ANSWER_COUNT
+                && warmThroughput.silenceNanos() <= SILENCE_LIMIT_NANOS;
     }
 
     /**
--- a/router/src/test/java/stoatrill/slowstart/SlowStartTest.java
+++ b/router/src/test/java/stoatrill/slowstart/SlowStartTest.java
@@ -159,6 +159,18 @@
         demandEverything(now, 6 * SECOND_NANOS, now);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 52, 300})
+    void routersUseTheColdServerMoreAndMoreWhileListedWarmOnesAnswerNothing(int count) {
+        startRouters(count, 9, 900);
+        long startedAt = answerWarm(START_NANOS, 20 * SECOND_NANOS);
+        routers.forEach(router -> router.startCold(startedAt));
+        demandEverything(startedAt, 16 * SECOND_NANOS, startedAt);
+        long lastSeconds = startedAt + 14 * SECOND_NANOS;
+        double sentPerSecond = arrivals.stream().filter(at -> at >= lastSeconds).count() / 2.0;
+        assertTrue(sentPerSecond >= capacity(lastSeconds, startedAt) / 2, sentPerSecond + " a second");
+    }
+
     @Test
     void aRestartedServerBeginsWithoutThePermitsAndAnswersOfBefore() {
         startRouters(1, 9, 700);
