Leave nodes of the model alone that were replaced before a trouble strikes or ends

Change: crashes, restarts, replacements and the troubles of single nodes pass over nodes that are out of service.

Measured: the new test in WorldTest ends by the NullPointerException before.

--- a/lab/src/main/java/stoatrill/lab/world/World.java
+++ b/lab/src/main/java/stoatrill/lab/world/World.java
@@ -356,8 +356,8 @@
             java.util.function.Consumer<Node> after) {
         time.at(from, () -> {
             List<Node> struck = draw(part, primaries);
-            struck.forEach(then);
-            time.at(until, () -> struck.forEach(after));
+            struck.stream().filter(World::isInService).forEach(then);
+            time.at(until, () -> struck.stream().filter(World::isInService).forEach(after));
         });
     }
 
@@ -381,13 +381,24 @@
         return drawn;
     }
 
+    /** Whether the node belongs to its group still: one that was replaced is out of service for good. */
+    private static boolean isInService(Node n) {
+        return n.group().members().contains(n);
+    }
+
     private void crash(Node n) {
+        if (!isInService(n)) {
+            return;
+        }
         n.stop(Node.State.DOWN);
         list.state(uid(n.id), ListedState.GONE, 0);
         time.at(time.now() + near, () -> routers.forEach(r -> r.reset(n)));
     }
 
     private void restart(Node n) {
+        if (!isInService(n)) {
+            return;
+        }
         n.start();
         if (n.state() == Node.State.UP) {
             list.state(uid(n.id), ListedState.READY, time.now() / MS);
@@ -406,6 +417,9 @@
     }
 
     private void replace(Node old, long drain) {
+        if (!isInService(old)) {
+            return;
+        }
         Node node = new Node(nodes.size(), old.spec, time, seed, this::fellOver);
         nodes.add(node);
         zoneOf = Arrays.copyOf(zoneOf, nodes.size());
--- a/lab/src/test/java/stoatrill/lab/world/WorldTest.java
+++ b/lab/src/test/java/stoatrill/lab/world/WorldTest.java
@@ -102,6 +102,20 @@
                 + trouble("shared-slow", "at 5s; for 6s; size 2.7"));
     }
 
+    @Test
+    void troublesLeaveNodesAloneThatWereReplacedMeanwhile() throws Exception {
+        String replaced = trouble("node-replace", "at 3s; for 6s; part 50%; extra 1s");
+        for (String other : List.of(
+                trouble("zone-crash", "at 6s; for 5s"),
+                trouble("node-replace", "at 4s; for 8s; part 50%; extra 1s"),
+                trouble("node-hang", "at 4s; for 8s; part 60%; size 100%"),
+                trouble("slow-apply", "at 2s; for 9s; part 90%; size 15"),
+                trouble("node-drain", "at 4s; for 8s; part 60%; extra 5s"))) {
+            World w = sane(MODEL + "}\n" + replaced + other);
+            assertTrue(w.tally().requests > 1_000, other);
+        }
+    }
+
     @Test
     void aZoneCutOffIsServedByWhatItCanReach() throws Exception {
         World w = play(MODEL + "}\n" + trouble("cut-zone", "at 5s; for 5s"), Policy.DECIDE);
