--- a/lab/src/main/java/stoatrill/lab/rig/FaultSpans.java
+++ b/lab/src/main/java/stoatrill/lab/rig/FaultSpans.java
@@ -4,10 +4,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import stoatrill.lab.rig.HistoryEvent.Fault;
 
 /**
  * When each router of a {@link History} was being killed or stood paused. Times are nanoseconds of the rig. Immutable
- * once it has been read from the lines.
+ * once it has been taken from the events.
  */
 final class FaultSpans {
     private static final long NOT_OVER = Long.MAX_VALUE;
@@ -28,24 +29,19 @@
 
     private FaultSpans() {}
 
-    /** Reads the faults among the lines of a history. */
-    static FaultSpans of(List<String> lines) {
+    /** Takes the faults of a history. */
+    static FaultSpans of(Events events) {
         FaultSpans spans = new FaultSpans();
-        for (String line : lines) {
-            String[] words = line.split("\t", -1);
-            if (words[0].equals("fault")) {
-                spans.add(Long.parseLong(words[1]), words[2], words[3]);
-            }
-        }
+        events.of(Fault.class).forEach(spans::add);
         return spans;
     }
 
-    private void add(long at, String fault, String router) {
-        switch (fault) {
-            case "kill" -> begin(kills, router, at, at);
-            case "killed" -> end(kills, router, at);
-            case "pause" -> begin(pauses, router, at, NOT_OVER);
-            case "resume" -> end(pauses, router, at);
+    private void add(Fault fault) {
+        switch (fault.kind()) {
+            case "kill" -> begin(kills, fault.target(), fault.at(), fault.at());
+            case "killed" -> end(kills, fault.target(), fault.at());
+            case "pause" -> begin(pauses, fault.target(), fault.at(), NOT_OVER);
+            case "resume" -> end(pauses, fault.target(), fault.at());
             default -> {}
         }
     }
