Reproduce the overload of cold servers by reads heavier than those that warm ones answered, failing

A router's part of a cold server's budget is what warm servers answered, in requests, while what tips a server over is work. Real processes: warm servers answer light reads (5 ms) from 200 clients, three servers restart, the warm ones end, and the clients ask for heavy reads (40 ms): all three cold servers fall.

--- a/lab/src/test/java/stoatrill/lab/rig/ReadClients.java
+++ b/lab/src/test/java/stoatrill/lab/rig/ReadClients.java
@@ -25,6 +25,7 @@
     private final AtomicLong asked = new AtomicLong();
     private final AtomicLong served = new AtomicLong();
     private final AtomicInteger numbers = new AtomicInteger();
+    private volatile String requestClass = "archive-read";
     private volatile boolean closed;
 
     /** {@code ports} gives the ports of the routers that are up. */
@@ -43,6 +44,11 @@
         }
     }
 
+    /** Sets the class of the requests from now on; {@code archive-read} at first. */
+    void use(String requestClass) {
+        this.requestClass = requestClass;
+    }
+
     /** The number of requests sent so far. */
     long asked() {
         return asked.get();
@@ -88,7 +94,7 @@
     /** Sends one read; false if the connection broke. */
     private boolean read(Connection connection, int number) {
         String sql = "SELECT v FROM records WHERE k = 'station-" + number + "' /* id=r" + asked.incrementAndGet()
-                + ",c=archive-read,d=" + ANSWER_MILLIS + ",cluster=0 */";
+                + ",c=" + requestClass + ",d=" + ANSWER_MILLIS + ",cluster=0 */";
         try (Statement statement = connection.createStatement()) {
             statement.execute(sql);
             served.incrementAndGet();
--- a/lab/src/test/java/stoatrill/lab/rig/SlowStartBudgetTest.java
+++ b/lab/src/test/java/stoatrill/lab/rig/SlowStartBudgetTest.java
@@ -35,7 +35,12 @@
     private static final long NOTICE_NANOS = 50_000_000L;
 
     /** A node takes 100 such reads a second; one that has just started bears 120 in a second. */
-    private static final Map<String, Double> WORK = Map.of("archive-read", 40e6);
+    private static final Map<String, Double> WORK = Map.of("archive-read", 40e6, "recent-read", 5e6);
+
+    /** Light reads: so many clients send a hundred a second to each router and more. */
+    private static final int LIGHT_CLIENTS_COUNT = 200;
+
+    private static final int LIGHT_READS_COUNT = 20_000;
 
     private static final String USUAL_CLASS = "\"aim\":150000000,\"giveUp\":500000000,\"gain\":1.0";
 
@@ -64,7 +69,9 @@
         /** The routers' wall clocks are stepped forward by an hour before the cold servers start. */
         WALL_CLOCKS_STEP_FORWARD,
         /** The routers' wall clocks are stepped back by an hour before the cold servers start. */
-        WALL_CLOCKS_STEP_BACK
+        WALL_CLOCKS_STEP_BACK,
+        /** The warm servers answer light reads; the clients that come ask for heavy ones. */
+        READS_GROW_HEAVIER
     }
 
     @ParameterizedTest
@@ -73,8 +80,7 @@
         try (Deployment deployment = new Deployment(NODES_COUNT, NOTICE_NANOS, WORK, at -> at);
                 ReadClients clients = new ReadClients(this::ports)) {
             startRouters(deployment, played, dir);
-            clients.add(CLIENTS_COUNT);
-            Wait.until(() -> clients.served() >= READS_BEFORE_COUNT);
+            readBefore(clients, played);
             clocks.forEach(
                     clock -> clock.stepWallClock(played == Case.WALL_CLOCKS_STEP_FORWARD ? HOUR_NANOS : -HOUR_NANOS));
             restartCold(deployment, 1);
@@ -86,6 +92,7 @@
                 routers.forEach(RouterProc::kill);
                 startRouters(deployment, played, dir);
             }
+            clients.use("archive-read");
             clients.add(FURTHER_CLIENTS_COUNT);
             if (played == Case.ROUTERS_PAUSE) {
                 long paused = clients.asked();
@@ -100,6 +107,13 @@
         }
     }
 
+    private static void readBefore(ReadClients clients, Case played) throws Exception {
+        boolean isLight = played == Case.READS_GROW_HEAVIER;
+        clients.use(isLight ? "recent-read" : "archive-read");
+        clients.add(isLight ? LIGHT_CLIENTS_COUNT : CLIENTS_COUNT);
+        Wait.until(() -> clients.served() >= (isLight ? LIGHT_READS_COUNT : READS_BEFORE_COUNT));
+    }
+
     private static void checkCold(Case played, List<Deployment.View> nodes) {
         for (int node : COLD) {
             System.out.printf(
