Charge a cold server's budget by how heavy a read is, compared with those answered

Cause: a router's part was the requests that warm servers had answered, while servers fall by work: eight times as heavy a read was sent as often. Class: as in this incident, a limit derived from the wrong input.

Change: RelativeWork compares the time that warm servers took for a class of reads with the mean over all reads answered of late, both as of the time when the throughput was measured. A heavier read takes up as much more of the part; lighter ones and writes count as one, since network and replication rule their times. Permits are held in work.

--- a/router/src/main/java/stoatrill/Decide.java
+++ b/router/src/main/java/stoatrill/Decide.java
@@ -413,7 +413,7 @@
                 // Without session reads, the recorded commits would accumulate unread.
                 && Arrays.stream(classes).anyMatch(c -> c.consistency() == Consistency.SESSION);
         this.random = new SplittableRandom(seed);
-        this.slowStart = new SlowStart(rules, settings.gatewayCount(), random);
+        this.slowStart = SlowStart.of(settings, random);
         // An agent that pushes lists answers a call at once and at no cost, and its list binds immediately.
         long firstWait =
                 settings.listOnRequest() ? LIST_RETRY_NANOS : Math.min(LIST_RETRY_NANOS, rules.drainGrace() / 4);
@@ -1061,6 +1061,7 @@
                     // The rest of the time was spent in the queue, which the queue ratio accounts for.
                     double serviceTime = elapsed / (1 + member.queueRatio);
                     recordLatency(member, request, serviceTime);
+                    slowStart.recordServiceTime(member.warmUp, request.classIndex, serviceTime, now);
                     usualLatencies[request.classIndex].addSample(
                             serviceTime, now, request.requestClass.aim() * INITIAL_LATENCY_AIM_SHARE);
                 }
@@ -1185,7 +1186,7 @@
         if (!slowStart.isCold(member.warmUp, now)) {
             return true;
         }
-        boolean isAllowed = slowStart.allows(member.warmUp, usualLatency(request), now);
+        boolean isAllowed = slowStart.allows(member.warmUp, request.classIndex, usualLatency(request), now);
         gateway.count("slow start", isAllowed ? "allowed" : "withheld");
         return isAllowed;
     }
--- a/router/src/main/java/stoatrill/core/Clocks.java
+++ b/router/src/main/java/stoatrill/core/Clocks.java
@@ -5,7 +5,8 @@
 
 /**
  * Converts between the wall clock, in which peers state times, and the module's monotonic clock. No other class does.
- * The module's clock starts at the wall clock's value and afterwards follows only the monotonic source. Not thread-safe.
+ * The module's clock starts at the wall clock's value and afterwards follows only the monotonic source. Not
+ * thread-safe.
  */
 public final class Clocks {
     /** A change of the difference between the clocks, in nanoseconds, from which on it counts as a step. */
@@ -60,8 +61,8 @@
 
     /**
      * The module's time for a peer's start, stated in Unix milliseconds; {@code now} at most. After a step of the wall
-     * clock it is not known whether the peer's clock was stepped too. Of the times that both cases give, it is the latest
-     * that is not in the future, since a server must not count as warm too early.
+     * clock it is not known whether the peer's clock was stepped too. Of the times that both cases give, it is the
+     * latest that is not in the future, since a server must not count as warm too early.
      */
     public long startFromWallMillis(long millis, long now) {
         long latest = Long.MIN_VALUE;
--- a/router/src/main/java/stoatrill/slowstart/ServerWarmUp.java
+++ b/router/src/main/java/stoatrill/slowstart/ServerWarmUp.java
@@ -21,8 +21,11 @@
     /** The rate of its answers since it started; null before any start. */
     DecayingRate answerRate;
 
-    /** Attempts that may be sent now. */
-    int permitCount;
+    /** The work of attempts that may be sent now, in requests of mean work. */
+    double permittedWork;
+
+    /** The work of the request that last asked for the server, in requests of mean work. */
+    double askedWork = 1;
 
     /** When a permit was last granted. */
     long grantedAt;
@@ -30,8 +33,8 @@
     /** Until when the time has been used to grant permits. */
     long grantedUntil;
 
-    /** Attempts a second that were allowed when permits were last granted. */
-    double permitsPerSecond;
+    /** The work a second that was allowed when permits were last granted, in requests of mean work. */
+    double workPerSecond;
 
     /** Attempts sent since the last description. */
     int sentCount;
--- a/router/src/main/java/stoatrill/slowstart/SlowStart.java
+++ b/router/src/main/java/stoatrill/slowstart/SlowStart.java
@@ -5,8 +5,12 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import stoatrill.Gateway.Consistency;
+import stoatrill.Gateway.RequestClass;
 import stoatrill.Gateway.Rules;
+import stoatrill.Gateway.Settings;
 import stoatrill.estimate.DecayingRate;
+import stoatrill.estimate.RelativeWork;
 import stoatrill.estimate.ServerThroughput;
 
 /**
@@ -20,6 +24,9 @@
  * server is listed, the last estimate holds. A router that has hardly had answers from warm servers, such as a new one,
  * or has had none for some time though they are listed, takes as its part what the cold server itself answers to it.
  *
+ * <p>Servers fall by work, so a request that is heavier than the mean of those answered takes up as much more of the
+ * part.
+ *
  * <p>Times are nanoseconds of the router's clock. Not thread-safe.
  */
 public final class SlowStart {
@@ -57,6 +64,9 @@
     private final ServerThroughput warmThroughput =
             new ServerThroughput(WARM_TIME_CONSTANT_NANOS, WARM_LEAST_SPAN_NANOS);
 
+    /** The work of requests compared with those that warm servers have answered here. */
+    private final RelativeWork relativeWork;
+
     /** The number of listed warm servers as of {@code countedAt}. */
     private int warmCount;
 
@@ -68,11 +78,24 @@
      *
      * @param routerCount the number of routers that share the budgets, at least 1
      * @param random decides when a part of less than one attempt is used
+     * @param isRead whether each class of requests, by index, is of reads; writes wait for replication, so the time for
+     *     their answers doesn't tell their work
      */
-    public SlowStart(Rules rules, int routerCount, SplittableRandom random) {
+    public SlowStart(Rules rules, int routerCount, SplittableRandom random, boolean... isRead) {
         this.rules = rules;
         this.routerCount = routerCount;
         this.random = random;
+        this.relativeWork = new RelativeWork(WARM_TIME_CONSTANT_NANOS, isRead);
+    }
+
+    /** Creates the limits of a router with these settings; {@code random} as in the constructor. */
+    public static SlowStart of(Settings settings, SplittableRandom random) {
+        List<RequestClass> classes = settings.classes();
+        boolean[] isRead = new boolean[classes.size()];
+        for (int i = 0; i < isRead.length; i++) {
+            isRead[i] = classes.get(i).consistency() != Consistency.WRITE;
+        }
+        return new SlowStart(settings.rules(), settings.gatewayCount(), random, isRead);
     }
 
     /** Adds a server, which counts as warm until {@link #begin} and as not listed until {@link #setListed}. */
@@ -103,7 +126,7 @@
     public void begin(ServerWarmUp server, long startedAt, long now) {
         server.startedAt = startedAt;
         server.answerRate = new DecayingRate((double) rules.overloadSpan());
-        server.permitCount = 0;
+        server.permittedWork = 0;
         server.grantedUntil = now;
         isCountOutdated = true;
     }
@@ -118,36 +141,46 @@
         }
     }
 
-    /** Charges the server's budget for an attempt. */
+    /** Records how long the server took for an answer to a request of a class. */
+    public void recordServiceTime(ServerWarmUp server, int classIndex, double nanos, long now) {
+        if (server.isListed && !isCold(server, now)) {
+            relativeWork.record(classIndex, nanos, now);
+        }
+    }
+
+    /** Charges the server's budget for an attempt of the request that last asked for it. */
     public void recordSent(ServerWarmUp server) {
-        server.permitCount = Math.max(0, server.permitCount - 1);
+        server.permittedWork = Math.max(0, server.permittedWork - server.askedWork);
         server.sentCount++;
     }
 
     /**
      * Whether one more attempt may be sent to the server now.
      *
+     * @param classIndex the request's class
      * @param serviceNanos the usual time that a server takes for such a request, positive
      */
-    public boolean allows(ServerWarmUp server, double serviceNanos, long now) {
+    public boolean allows(ServerWarmUp server, int classIndex, double serviceNanos, long now) {
         if (!isCold(server, now)) {
             return true;
         }
         countWarm(now);
-        server.permitsPerSecond = ownPart(server, serviceNanos, now);
+        server.askedWork = isWarmThroughputKnown() ? relativeWork.of(classIndex, serviceNanos) : 1;
+        server.workPerSecond = ownPart(server, serviceNanos, now);
         grantPermits(server, now);
-        server.withheldCount += server.permitCount == 0 ? 1 : 0;
-        return server.permitCount > 0;
+        boolean isAllowed = server.permittedWork >= server.askedWork;
+        server.withheldCount += isAllowed ? 0 : 1;
+        return isAllowed;
     }
 
     /**
-     * This router's part of the budget, in attempts a second. The parts of all routers add up to less than the budget:
-     * the warm servers have answered what the parts are derived from, or the cold one has, and any server handles one
-     * request at a time.
+     * This router's part of the budget, in requests of mean work a second. The parts of all routers add up to less than
+     * the budget: the warm servers have answered what the parts are derived from, or the cold one has, and any server
+     * handles one request at a time.
      */
     private double ownPart(ServerWarmUp server, double serviceNanos, long now) {
         double capacityShare = capacityShare(server, now);
-        double least = leastBudget(capacityShare * NANOS_PER_SECOND / serviceNanos) / routerCount;
+        double least = leastBudget(capacityShare * NANOS_PER_SECOND / serviceNanos) / routerCount * server.askedWork;
         if (isWarmThroughputKnown()) {
             return Math.max(
                     least, BUDGET_SHARE * rules.overloadMultiple() * capacityShare * warmThroughput.perSecond());
@@ -180,16 +213,16 @@
     private void grantPermits(ServerWarmUp server, long now) {
         double lifetimeNanos = rules.overloadSpan() / 2.0;
         if (now - server.grantedAt > lifetimeNanos) {
-            server.permitCount = 0;
+            server.permittedWork = 0;
         }
         double elapsedNanos = Math.min((double) (now - server.grantedUntil), lifetimeNanos);
-        double expectedCount = server.permitsPerSecond * elapsedNanos / NANOS_PER_SECOND;
+        double expectedCount = server.workPerSecond / server.askedWork * elapsedNanos / NANOS_PER_SECOND;
         int grantedCount = (int) expectedCount;
         grantedCount += random.nextDouble() < expectedCount - grantedCount ? 1 : 0;
         server.grantedUntil = now;
         if (grantedCount > 0) {
-            double limit = Math.max(1, server.permitsPerSecond * lifetimeNanos / NANOS_PER_SECOND);
-            server.permitCount = (int) Math.min(server.permitCount + grantedCount, limit);
+            double limit = Math.max(server.askedWork, server.workPerSecond * lifetimeNanos / NANOS_PER_SECOND);
+            server.permittedWork = Math.min(server.permittedWork + grantedCount * server.askedWork, limit);
             server.grantedAt = now;
         }
     }
@@ -247,7 +280,7 @@
                 server.serverId,
                 (now - server.startedAt) / NANOS_PER_MILLI,
                 server.answerRate.perSecond(now),
-                server.permitsPerSecond,
+                server.workPerSecond,
                 server.sentCount,
                 server.withheldCount);
     }
--- a/router/src/test/java/stoatrill/slowstart/SlowStartTest.java
+++ b/router/src/test/java/stoatrill/slowstart/SlowStartTest.java
@@ -27,6 +27,11 @@
 
     private static final double SERVICE_NANOS = 40e6;
 
+    /** The class of the requests, and one of lighter ones. */
+    private static final int READ = 0;
+
+    private static final int LIGHT_READ = 1;
+
     /** One router: its limits, its warm servers and a cold one. */
     private static final class Router {
         final SlowStart slowStart;
@@ -34,7 +39,7 @@
         ServerWarmUp cold;
 
         Router(int routers, int warmCount, long seed) {
-            slowStart = new SlowStart(RULES, routers, new SplittableRandom(seed));
+            slowStart = new SlowStart(RULES, routers, new SplittableRandom(seed), true, true);
             for (int i = 0; i < warmCount; i++) {
                 warm.add(slowStart.add(i));
                 slowStart.setListed(warm.get(i), true);
@@ -88,7 +93,7 @@
             answersOwed = Math.min(answersOwed + capacity * STEP_NANOS / (double) SECOND_NANOS, 1);
             for (int i = 0; i < routers.size(); i++) {
                 Router router = routers.get((i + (int) (now / STEP_NANOS % routers.size())) % routers.size());
-                while (router.slowStart.allows(router.cold, SERVICE_NANOS, now)) {
+                while (router.slowStart.allows(router.cold, READ, SERVICE_NANOS, now)) {
                     router.slowStart.recordSent(router.cold);
                     arrivals.add(now);
                     if (answersOwed >= 1) {
@@ -142,7 +147,7 @@
         routers.forEach(router -> router.startCold(start));
         long now = answerWarm(start, 2 * SECOND_NANOS);
         for (Router router : routers) {
-            router.slowStart.allows(router.cold, SERVICE_NANOS, now);
+            router.slowStart.allows(router.cold, READ, SERVICE_NANOS, now);
             router.loseWarm();
         }
         demandEverything(now + 2 * SECOND_NANOS, SECOND_NANOS, start);
@@ -171,6 +176,26 @@
         assertTrue(sentPerSecond >= capacity(lastSeconds, startedAt) / 2, sentPerSecond + " a second");
     }
 
+    /** Warm servers that answer eight times as many light reads do the same work. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 52, 300})
+    void heavyReadsKeepTheBudgetThoughWarmServersAnsweredLightOnes(int count) {
+        startRouters(count, 9, 1100);
+        long now = START_NANOS;
+        for (long until = now + 20 * SECOND_NANOS; now < until; now += SECOND_NANOS / (9 * 8 * WARM_PER_SECOND_COUNT)) {
+            Router router = routers.get(random.nextInt(count));
+            ServerWarmUp server = router.warm.get(random.nextInt(9));
+            router.slowStart.recordAnswer(server, now);
+            router.slowStart.recordServiceTime(server, LIGHT_READ, SERVICE_NANOS / 8, now);
+        }
+        for (Router router : routers) {
+            router.startCold(now);
+            router.loseWarm();
+        }
+        demandEverything(now, 6 * SECOND_NANOS, now);
+        assertTrue(arrivals.size() > 6 * WARM_PER_SECOND_COUNT * COLD_SHARE / 2, arrivals.size() + " sent in 6 s");
+    }
+
     @Test
     void aRestartedServerBeginsWithoutThePermitsAndAnswersOfBefore() {
         startRouters(1, 9, 700);
@@ -178,9 +203,9 @@
         Router router = routers.get(0);
         router.startCold(now);
         long later = now + SECOND_NANOS;
-        assertTrue(router.slowStart.allows(router.cold, SERVICE_NANOS, later), "a permit after a second");
+        assertTrue(router.slowStart.allows(router.cold, READ, SERVICE_NANOS, later), "a permit after a second");
         router.slowStart.begin(router.cold, later, later);
-        assertEquals(0, router.cold.permitCount);
+        assertEquals(0.0, router.cold.permittedWork);
         assertEquals(0.0, router.cold.answerRate.perSecond(later));
     }
 }
