Compare the work of requests only once answers have taken time

Where all answers recorded took no time at all, as a coarse clock may show, the comparison divided by zero and a cold server would have been allowed nothing.

--- a/router/src/main/java/stoatrill/estimate/RelativeWork.java
+++ b/router/src/main/java/stoatrill/estimate/RelativeWork.java
@@ -52,7 +52,7 @@
      * @param usualNanos the time assumed for a class of which no answer is recorded
      */
     public double of(int classIndex, double usualNanos) {
-        if (!isCompared[classIndex] || decayedCount == 0) {
+        if (!isCompared[classIndex] || decayedNanos == 0) {
             return 1;
         }
         double nanos = classCounts[classIndex] == 0 ? usualNanos : classNanos[classIndex];
--- a/router/src/test/java/stoatrill/estimate/RelativeWorkTest.java
+++ b/router/src/test/java/stoatrill/estimate/RelativeWorkTest.java
@@ -18,6 +18,13 @@
         assertEquals(1, work.of(HEAVY, 40e6), EXACT);
     }
 
+    @Test
+    void everyRequestIsOneOfTheMeanWhileAnswersTookNoTime() {
+        work.record(LIGHT, 0, 0);
+        assertEquals(1, work.of(LIGHT, 5e6), EXACT);
+        assertEquals(1, work.of(HEAVY, 40e6), EXACT);
+    }
+
     @Test
     void aHeavyRequestIsComparedWithTheMeanOfThoseAnswered() {
         for (int i = 0; i < 100; i++) {
