Let stand-in nodes read literals of 64 KiB

Cause: the pattern of quoted literals recursed once a character, so that an upload of 64 KiB whose value is not the last literal ended the stand-ins' thread with a StackOverflowError (seen with 600 clients that write such uploads slowly). Change: possessive quantifiers, which don't recurse.

--- a/standins/src/main/java/stoatrill/standins/net/PgNode.java
+++ b/standins/src/main/java/stoatrill/standins/net/PgNode.java
@@ -31,7 +31,7 @@
     private static final int BUFFER = 16 * 1024;
     private static final double DEFAULT_WORK = 5_000_000;
     private static final long DEFAULT_WAIT = 10_000_000_000L;
-    private static final Pattern QUOTED = Pattern.compile("'((?:[^']|'')*)'");
+    private static final Pattern QUOTED = Pattern.compile("'([^']*+(?:''[^']*+)*+)'");
     private static final Pattern PART = Pattern.compile("([a-z]+)=([^,\\s*]+)");
 
     private final RealTime time;
