Remember writes that may have run after their clients have left

Cause: the reducer knew the id of a request only while the request was open. The end of the client's connection ends its requests, but attempts already written go on at their servers, and the same id on another connection was taken for a new request. Class: state that is tied to a peer's presence though its effect outlasts it.

Change: core.RecentWrites keeps the ids of requests that must run once and may have run, from their end on for the longest wait that a request may announce.

--- a/router/src/main/java/stoatrill/core/Reducer.java
+++ b/router/src/main/java/stoatrill/core/Reducer.java
@@ -34,6 +34,11 @@
     private static final long POSITION_TOLERANCE_NANOS = 20 * NANOS_PER_MILLI;
     /** Upper bound on a client's announced wait, as a multiple of the longest client timeout of all classes. */
     private static final long MAX_WAIT_FACTOR = 10;
+    /**
+     * Ids that are remembered of writes that may have run. With the usual deadlines that is thousands of writes a second
+     * for the whole retention.
+     */
+    private static final int RECENT_WRITES_LIMIT_COUNT = 1 << 17;
     /** How long the router keeps an idle connection, as a ratio of the time after which servers close it. */
     private static final double IDLE_TIMEOUT_RATIO = 0.7;
 
@@ -61,6 +66,7 @@
     private final Map<Long, Map<Long, Request>> openRequestsByClient = new HashMap<>();
     private final ServerDirectory serverDirectory;
     private final Set<String> openRequestNames = new HashSet<>(); // ids chosen by the clients
+    private final RecentWrites recentWrites;
     private final long maxWaitMillis;
     private final ArrayDeque<Runnable> pendingActions = new ArrayDeque<>();
     private long now;
@@ -106,6 +112,8 @@
                         .orElse(0)
                 / NANOS_PER_MILLI
                 * MAX_WAIT_FACTOR;
+        // No client waits longer for an answer than this, so none repeats a request later.
+        this.recentWrites = new RecentWrites(maxWaitMillis * NANOS_PER_MILLI, RECENT_WRITES_LIMIT_COUNT, setup.seed());
         this.decisionModule = decisions.apply(this);
     }
 
@@ -150,7 +158,15 @@
             effects.answerClient(client, slot, new Answer.Invalid(problem));
             return;
         }
-        if (isShuttingDown || unansweredCount >= setup.maxUnansweredRequests()) {
+        boolean mustRunOnce = Request.mustRunOnce(requestClass);
+        if (mustRunOnce && recentWrites.contains(clientRequest.id(), now)) {
+            effects.count("repeated", "id that may have run");
+            effects.answerClient(client, slot, new Answer.Failed("a request with this id may have run already"));
+            return;
+        }
+        if (isShuttingDown
+                || unansweredCount >= setup.maxUnansweredRequests()
+                || (mustRunOnce && recentWrites.isFull(now))) {
             effects.answerClient(client, slot, new Answer.Refused(0));
             return;
         }
@@ -768,6 +784,9 @@
         }
         request.backstopDeadline.cancel();
         openRequestNames.remove(request.clientRequest.id());
+        if (request.mustRunOnce() && request.attempts.stream().anyMatch(Attempt::mayHaveRunByNow)) {
+            recentWrites.add(request.clientRequest.id(), now);
+        }
         unansweredCount--;
         if (request.openAttemptCount == 0) {
             requestsById.remove(request.id);
--- a/router/src/main/java/stoatrill/core/Request.java
+++ b/router/src/main/java/stoatrill/core/Request.java
@@ -37,6 +37,11 @@
 
     /** Whether it must not run twice. */
     boolean mustRunOnce() {
+        return mustRunOnce(requestClass);
+    }
+
+    /** Whether the requests of a class must not run twice. */
+    static boolean mustRunOnce(RequestClass requestClass) {
         return requestClass.idempotency() != Gateway.Idempotency.SAFE;
     }
 
