Cancel a request's timers once it is over and has no attempt out

Cause: the module starts a timer for each request's deadline, and the reducer kept it in the queue until then, also for requests refused or cancelled at once. Change: timers whose token is the number of a request are cancelled when the reducer forgets the request. RequestTimersTest: 20,001 pending deadlines in place of 1 after 10,000 cancelled requests before, 1 now.

--- a/router/src/main/java/stoatrill/Gateway.java
+++ b/router/src/main/java/stoatrill/Gateway.java
@@ -43,7 +43,10 @@
     /** Cancels one attempt. Its outcome is still reported, mostly as {@link Result#CANCELLED}. */
     void cancelAttempt(long request, int attempt);
 
-    /** Schedules {@link Events#onTimer} with this token after the delay. A timer can't be cancelled. */
+    /**
+     * Schedules {@link Events#onTimer} with this token after the delay. A timer can't be cancelled; one whose token is
+     * the number of a request need not run once that request is over and has no attempt out.
+     */
     void startTimer(long delay, long token);
 
     /** Probes a server, which costs it some work. {@link Events#onProbeEnded} reports the result. */
--- a/router/src/main/java/stoatrill/core/DeadlineQueue.java
+++ b/router/src/main/java/stoatrill/core/DeadlineQueue.java
@@ -69,6 +69,11 @@
         return deadline;
     }
 
+    /** The number of deadlines that are pending. */
+    public int size() {
+        return heapSize + bucketedCount;
+    }
+
     /** Runs the actions that are due. Deadlines that these add for now or earlier wait for the next sweep. */
     public void runDue(long now) {
         advanceTo(now >> BUCKET_SHIFT_BITS);
--- a/router/src/main/java/stoatrill/core/Reducer.java
+++ b/router/src/main/java/stoatrill/core/Reducer.java
@@ -12,6 +12,7 @@
 import stoatrill.Decide;
 import stoatrill.Gateway;
 import stoatrill.contract.Contracts;
+import stoatrill.core.DeadlineQueue.Deadline;
 
 /**
  * The router's state machine and the only place where its state changes. Events from the sockets come in through the
@@ -569,8 +570,14 @@
 
     @Override
     public void startTimer(long delay, long token) {
-        pendingActions.add(() ->
-                deadlines.schedule(now + delay, () -> notifyModule(() -> decisionModule.onTimer(now, token))));
+        pendingActions.add(() -> {
+            Deadline timer =
+                    deadlines.schedule(now + delay, () -> notifyModule(() -> decisionModule.onTimer(now, token)));
+            Request request = requestsById.get(token);
+            if (request != null) {
+                request.moduleTimers.add(timer);
+            }
+        });
     }
 
     @Override
@@ -705,7 +712,7 @@
         Role role = answer == null ? Role.UNKNOWN : answer.role();
         boolean isRequestOver = request.isOver;
         if (isRequestOver && request.openAttemptCount == 0) {
-            requestsById.remove(request.id);
+            forgetRequest(request);
         }
         callModule(() -> decisionModule.onAttemptEnded(
                 now,
@@ -789,7 +796,7 @@
         }
         unansweredCount--;
         if (request.openAttemptCount == 0) {
-            requestsById.remove(request.id);
+            forgetRequest(request);
         }
         Map<Long, Request> clientRequests = openRequestsByClient.get(request.client);
         if (clientRequests != null) {
@@ -809,6 +816,13 @@
         }
     }
 
+    /** Forgets a request that is over and has no attempt out; its timers must not take memory up to its deadline. */
+    private void forgetRequest(Request request) {
+        requestsById.remove(request.id);
+        request.moduleTimers.forEach(Deadline::cancel);
+        request.moduleTimers.clear();
+    }
+
     /** Fails a request that the module left without an answer, so that every request gets one. */
     private void failOverdueRequest(Request request) {
         if (!request.isOver) {
--- a/router/src/main/java/stoatrill/core/Request.java
+++ b/router/src/main/java/stoatrill/core/Request.java
@@ -25,6 +25,9 @@
     long overAt;
 
     Deadline backstopDeadline;
+    /** Timers that the module has started under the number of this request. */
+    final List<Deadline> moduleTimers = new ArrayList<>(2);
+
     /** The index of its team; negative if no contracts apply. */
     int teamIndex = -1;
 
