Accept each request for encryption once, as PostgreSQL does

What callers saw: while a few clients asked for TLS at full speed, others were answered seconds late or never, for as long as the flood's bytes lasted. Cause: a connection that had not started up could ask again and again; each eight bytes of input cost one system call for the reply, and the loop over the messages before startup had no limit (the limit of 32 counts commands), so that one turn of one connection handled up to 131,072 requests. Two thread dumps during the flood stand in that write. Change: a second request of either kind ends the connection with 0A000, as in PostgreSQL.

--- a/router/src/main/java/stoatrill/pg/PgClient.java
+++ b/router/src/main/java/stoatrill/pg/PgClient.java
@@ -17,12 +17,18 @@
     private static final int COMMANDS_PER_TURN_LIMIT = 32;
     /** The reply to each request that is refused unread; one array, as there may be thousands. */
     private static final byte[] REFUSAL = encode(new Answer.Refused(0));
+
+    private static final byte[] ENCRYPTION_DECLINED = {'N'};
     /** Replies to the commands read so far, oldest first. */
     private final ArrayDeque<PendingReply> pendingReplies = new ArrayDeque<>();
 
     private final MessageReader input = new MessageReader(false, MAX_STARTUP_BYTES);
     private final Environment environment;
     private boolean startupComplete;
+    /** Whether the client has asked for each kind of encryption; as in PostgreSQL, it may do so once. */
+    private boolean sslDeclined;
+
+    private boolean gssDeclined;
     private long nextSlot;
     private long commands;
     private long unwrittenBytes;
@@ -87,8 +93,12 @@
 
     private void handleStartup() throws PgException {
         int code = input.int32(0);
-        if (code == Messages.SSL_REQUEST_CODE || code == Messages.GSS_ENCRYPTION_REQUEST_CODE) {
-            environment.write(new byte[] {'N'});
+        if (code == Messages.SSL_REQUEST_CODE && !sslDeclined) {
+            sslDeclined = true;
+            environment.write(ENCRYPTION_DECLINED);
+        } else if (code == Messages.GSS_ENCRYPTION_REQUEST_CODE && !gssDeclined) {
+            gssDeclined = true;
+            environment.write(ENCRYPTION_DECLINED);
         } else if (code == Messages.CANCEL_REQUEST_CODE) {
             if (input.bodySize() == 12) {
                 environment.cancelByKey(((long) input.int32(4) << 32) | (input.int32(8) & 0xffffffffL));
--- a/router/src/test/java/stoatrill/pg/PgClientPiecesTest.java
+++ b/router/src/test/java/stoatrill/pg/PgClientPiecesTest.java
@@ -92,6 +92,13 @@
         return message("Q", (text + "\0").getBytes(StandardCharsets.UTF_8));
     }
 
+    private static byte[] startup() {
+        byte[] names = "user\0svc\0database\0main\0\0".getBytes(StandardCharsets.US_ASCII);
+        return message(
+                "",
+                ByteBuffer.allocate(4 + names.length).putInt(196608).put(names).array());
+    }
+
     /**
      * Returns a client's messages of every form: a request for encryption, startup, queries, empty queries,
      * termination.
@@ -99,10 +106,7 @@
     private static byte[] clientMessages() {
         ByteBuffer joined = ByteBuffer.allocate(4096);
         joined.put(message("", ByteBuffer.allocate(4).putInt(80877103).array()));
-        byte[] names = "user\0svc\0database\0main\0\0".getBytes(StandardCharsets.US_ASCII);
-        joined.put(message(
-                "",
-                ByteBuffer.allocate(4 + names.length).putInt(196608).put(names).array()));
+        joined.put(startup());
         for (int n = 0; n < 3; n++) {
             joined.put(query(READ.formatted(n)))
                     .put(query(";"))
@@ -115,6 +119,23 @@
         return bytes;
     }
 
+    @Test
+    void eachKindOfEncryptionIsDeclinedOnceAndThenEndsTheConnection() {
+        for (int[] codes : List.of(new int[] {80877103, 80877103}, new int[] {80877104, 80877103, 80877104})) {
+            Conversation conversation = new Conversation();
+            for (int i = 0; i < codes.length; i++) {
+                assertFalse(conversation.closed);
+                byte[] request =
+                        message("", ByteBuffer.allocate(4).putInt(codes[i]).array());
+                conversation.receive(request, 0, request.length);
+            }
+            assertTrue(conversation.closed);
+            String written = conversation.written.toString();
+            assertTrue(written.startsWith("N".repeat(codes.length - 1) + "E"), written);
+            assertTrue(written.contains("SFATAL") && written.contains("C0A000"), written);
+        }
+    }
+
     @Test
     void readsTheSameRequestsHoweverTheBytesAreSplit() {
         byte[] bytes = clientMessages();
