Bound a connection's turn by its cost, and write the replies of a turn at once

Cause: a turn was bounded by a count of commands alone. Commands of 130 KB cost as much as hundreds of others, startup messages were not counted, refusals neither; and each reply was a system call of its own. Class: a bound in another unit than the cost.

Change: net.TurnAccount gives each connection 32 KiB of credit a turn (deficit round robin); a message is charged its bytes and 1 KiB, in every phase, and one that costs more is paid for in later turns. An iteration handles 256 KiB of such work and reads 1 MiB from clients, those that waited longest first. net.OutputQueue joins small replies, which leave in one write at the end of a step. At the end of a shutdown, what was read is refused for 50 ms, the clients in turns.

--- a/router/src/main/java/stoatrill/net/ClientProtocol.java
+++ b/router/src/main/java/stoatrill/net/ClientProtocol.java
@@ -33,9 +33,15 @@
         /** Cancels the request with the given slot; its answer still follows. */
         void cancelRequest(long slot);
 
-        /** Writes the bytes, or queues them until the socket takes them. */
+        /** Writes the bytes with the other replies of this turn, or once the socket takes them. */
         void write(byte[] bytes);
 
+        /** Reports that the client was told of an error, by its SQLSTATE. */
+        void recordError(String sqlState);
+
+        /** What the connection may still cost in this turn; the protocol charges each message that it handles. */
+        TurnAccount turn();
+
         /** Closes the connection once everything written has been sent. */
         void closeAfterWrites();
     }
@@ -43,7 +49,7 @@
     /** Takes received bytes; all of them are buffered until {@link #readCommands}. */
     void receive(ByteBuffer bytes);
 
-    /** Reads commands from the received bytes, a limited number at a time. */
+    /** Reads commands from the received bytes, as many as {@link Environment#turn} has credit for. */
     void readCommands();
 
     /** Cancels the request that has waited longest for its answer, if there is one. */
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -59,8 +59,12 @@
     private static final int WAITING_REPLY_LIMIT = 4096;
     /** Server events that one iteration handles, so that the loop soon looks again for clients that have left. */
     private static final int SERVER_EVENT_LIMIT = 128;
-    /** Client commands that one iteration starts, for the same reason. */
-    private static final int COMMAND_LIMIT = 256;
+    /** What one iteration charges for clients' messages, for the same reason. */
+    private static final long TURN_WORK_LIMIT_BYTES = 8 * TurnAccount.QUANTUM_BYTES;
+    /** What looking at a client costs that has no message to handle. */
+    private static final long LEAST_VISIT_COST_BYTES = 256;
+    /** Bytes that one iteration reads from all clients. */
+    private static final long TURN_READ_LIMIT_BYTES = 1 << 20;
     /** After SIGTERM the load balancer in front still sends new connections for up to 0.4 s. */
     private static final long ACCEPT_DURING_STOP_NANOS = 500 * NANOS_PER_MILLI;
     /** SIGKILL follows SIGTERM after the longest client timeout, counted as at most 3 s, plus 0.7 s. */
@@ -72,6 +76,9 @@
     /** How long clients may take to read the last answers and close; 0.1 s remains before SIGKILL after that. */
     private static final long LAST_READ_NANOS = 100 * NANOS_PER_MILLI;
 
+    /** For how long commands that were read are still refused at the very end, the clients in turns. */
+    private static final long LAST_WORK_NANOS = 50 * NANOS_PER_MILLI;
+
     /** Consecutive checks that must find nothing before the listener or an idle client is closed. */
     private static final int EMPTY_CHECK_COUNT = 5;
 
@@ -141,8 +148,16 @@
     private final ArrayDeque<Runnable> deferredTasks = new ArrayDeque<>();
     /** The first of the connections to be closed at the end of this iteration, linked by their own fields. */
     private Link firstFailedLink;
+    /** Clients that can be read, the one that has waited longest first. */
+    private final ArrayDeque<ClientLink> readableClients = new ArrayDeque<>();
     /** Clients whose received bytes may contain a command. */
     private final ArrayDeque<ClientLink> dueClients = new ArrayDeque<>();
+    /** Connections with output that leaves once the step at hand is done. */
+    private final ArrayDeque<Link> linksToFlush = new ArrayDeque<>();
+    /** The number of this iteration. */
+    private long turn;
+    /** Bytes read from clients so far. */
+    private long readBytes;
 
     private final DescriptorBudget descriptorBudget;
     /** Endpoints of server connections that could not be opened yet for lack of a descriptor, by connection id. */
@@ -321,9 +336,12 @@
             runGuarded(null, selection);
             runGuarded(null, processing);
         }
-        while (!deferredTasks.isEmpty() || !dueClients.isEmpty()) {
+        long endBy = System.nanoTime() + LAST_WORK_NANOS;
+        while ((!deferredTasks.isEmpty() || !dueClients.isEmpty()) && System.nanoTime() < endBy) {
+            turn++;
             runGuarded(null, nextRemainingWork);
         }
+        flushLinks();
         LOG.info("stopped; invariants broken: {}", reducer.brokenInvariants());
         listener.close();
         poller.close();
@@ -342,6 +360,7 @@
     private void selectEvents() {
         boolean mayWait = deferredTasks.isEmpty()
                 && dueClients.isEmpty()
+                && readableClients.isEmpty()
                 && firstFailedLink == null
                 && poller.selectedKeys().isEmpty();
         long waitNanos = mayWait ? reducer.openDeferredConnections(now()) - now() : 0;
@@ -453,8 +472,35 @@
      * timers, and only then client commands.
      */
     private void processEvents() {
+        turn++;
         compareClocks();
         List<Link> otherLinks = new ArrayList<>();
+        boolean canAccept = takeSelectedKeys(otherLinks);
+        readClients();
+        otherLinks.forEach(this::handle);
+        runGuarded(null, () -> reducer.runDueDeadlines(now()));
+        flushLinks();
+        handleDueClients();
+        runGuarded(null, this::limitInput);
+        if (canAccept) {
+            runGuarded(null, this::acceptClients);
+        }
+        for (int n = deferredTasks.size(); n > 0; n--) {
+            runGuarded(null, deferredTasks.poll());
+        }
+        flushLinks();
+        runGuarded(null, this::closeFailedLinks);
+        runGuarded(null, this::applyPendingConfig);
+        if (stopRequested) {
+            runGuarded(null, this::advanceShutdown);
+        }
+    }
+
+    /**
+     * Queues the clients that the selector has found, and collects a limited number of other connections; the rest stay
+     * selected for the next iteration. Returns whether a connection can be accepted.
+     */
+    private boolean takeSelectedKeys(List<Link> otherLinks) {
         boolean canAccept = false;
         for (Iterator<SelectionKey> keys = poller.selectedKeys().iterator(); keys.hasNext(); ) {
             SelectionKey key = keys.next();
@@ -462,36 +508,54 @@
                 if (inputBudget.isExhausted()) {
                     continue; // stays selected until commands of this iteration have been handled
                 }
-                handle(client);
+                client.scheduleRead();
             } else if (!(key.attachment() instanceof Link link)) {
                 canAccept = true;
             } else if (otherLinks.size() < SERVER_EVENT_LIMIT) {
                 otherLinks.add(link);
             } else {
-                continue; // stays selected for the next iteration
+                continue;
             }
             keys.remove();
         }
-        otherLinks.forEach(this::handle);
-        runGuarded(null, () -> reducer.runDueDeadlines(now()));
-        long commands = 0;
-        for (int n = dueClients.size(); n > 0 && commands < COMMAND_LIMIT; n--) {
+        return canAccept;
+    }
+
+    /** Reads the clients that have waited longest, up to a total of bytes; the others wait for the next iteration. */
+    private void readClients() {
+        long limit = readBytes + TURN_READ_LIMIT_BYTES;
+        for (int n = readableClients.size(); n > 0 && readBytes < limit; n--) {
+            ClientLink client = readableClients.poll();
+            client.isReadScheduled = false;
+            handle(client);
+        }
+    }
+
+    /** Handles the commands of the clients that have waited longest, up to a total of work. */
+    private void handleDueClients() {
+        long work = 0;
+        for (int n = dueClients.size(); n > 0 && work < TURN_WORK_LIMIT_BYTES; n--) {
             ClientLink client = dueClients.poll();
-            commands -= client.protocol.commandCount() - 1;
+            long workBefore = client.turnAccount.chargedBytes();
             handleCommands(client);
-            commands += client.protocol.commandCount();
-        }
-        runGuarded(null, this::limitInput);
-        if (canAccept) {
-            runGuarded(null, this::acceptClients);
+            work += client.turnAccount.chargedBytes() - workBefore + LEAST_VISIT_COST_BYTES;
         }
-        for (int n = deferredTasks.size(); n > 0; n--) {
-            runGuarded(null, deferredTasks.poll());
-        }
-        runGuarded(null, this::closeFailedLinks);
-        runGuarded(null, this::applyPendingConfig);
-        if (stopRequested) {
-            runGuarded(null, this::advanceShutdown);
+    }
+
+    /** Requests that output queued by a connection in this step is written at the end of the step. */
+    void flushLater(Link link) {
+        linksToFlush.add(link);
+    }
+
+    /** Writes what connections have queued in this step. */
+    private void flushLinks() {
+        Link link;
+        while ((link = linksToFlush.poll()) != null) {
+            try {
+                link.flushTurn();
+            } catch (Throwable e) { // as in runGuarded, which would need memory for its argument
+                handleFailure(link, e);
+            }
         }
     }
 
@@ -778,6 +842,10 @@
         private boolean isClosing;
         private boolean isHalfClosed;
         private boolean isDue;
+        /** Whether it is among {@link #readableClients}. */
+        private boolean isReadScheduled;
+
+        private final TurnAccount turnAccount = new TurnAccount();
         /** Whether the last read was ended by a limit, so that the end of the connection may be behind more input. */
         private boolean hasUnreadInput;
 
@@ -833,6 +901,37 @@
             return isReady;
         }
 
+        @Override
+        public void write(byte[] bytes) {
+            writeInTurn(bytes);
+        }
+
+        @Override
+        public void recordError(String sqlState) {
+            count("error", sqlState);
+        }
+
+        @Override
+        public TurnAccount turn() {
+            return turnAccount;
+        }
+
+        /** Requests that the client is read once it is its turn. */
+        void scheduleRead() {
+            if (!isReadScheduled) {
+                readableClients.add(this);
+                isReadScheduled = true;
+            }
+        }
+
+        @Override
+        void handleSelected(ByteBuffer buffer) {
+            super.handleSelected(buffer);
+            if (hasUnreadInput && isOpen() && !connection().isReadable()) {
+                readAvailable(buffer); // put off earlier, and perhaps read to its end then
+            }
+        }
+
         /**
          * Reads what has arrived, if possible to its end. The end of a connection can be seen only after everything
          * that the client sent has been read, and nothing may begin for a client that has left. So a client is read
@@ -842,16 +941,21 @@
         void readAvailable(ByteBuffer buffer) {
             ReadResult result = ReadResult.DATA;
             refuseExcessCommands();
-            for (int n = 0; n < READ_LIMIT && result == ReadResult.DATA && mayRead(); n++) {
-                result = read(buffer);
+            for (int n = 0; n < READ_LIMIT && result == ReadResult.DATA && readableBytes() > 0; n++) {
+                result = read(buffer, readableBytes());
+                readBytes += result == ReadResult.DATA ? buffer.limit() : LEAST_VISIT_COST_BYTES;
                 refuseExcessCommands();
             }
             hasUnreadInput = result == ReadResult.DATA;
         }
 
-        /** Whether more may be read now: there is room for it, or it is the rest of the message that takes the room. */
-        private boolean mayRead() {
-            return isOpen() && (hasInputRoom() || !protocol.hasCompleteCommand());
+        /** How many bytes may be read now; the input of a connection that has ended is dropped. */
+        private int readableBytes() {
+            if (!isOpen()) {
+                return 0;
+            }
+            boolean mayRead = isHalfClosed || isClosing || hasInputRoom() || !protocol.hasCompleteCommand();
+            return mayRead ? BUFFER_BYTES : 0;
         }
 
         private boolean hasInputRoom() {
@@ -899,12 +1003,11 @@
         void readCommands() {
             isDue = false;
             if (mustReadFirst()) {
-                readAvailable(readBuffer);
-                if (mustReadFirst()) {
-                    scheduleCommands();
-                    return;
-                }
+                scheduleRead();
+                scheduleCommands();
+                return;
             }
+            turnAccount.beginTurn(turn);
             if (isOpen() && !hasFailed() && !isHalfClosed && !isClosing && readsItsAnswers()) {
                 long commandsBefore = protocol.commandCount();
                 protocol.readCommands();
@@ -913,14 +1016,21 @@
         }
 
         void answer(long slot, Answer answer) {
-            // An answer that is next in order releases the answers held back behind it, so those don't count.
-            long unreadBefore = protocol.isNext(slot) ? queuedBytes() : unreadBytes;
-            boolean keepsValue = !(answer instanceof Answer.Served served)
-                    || unreadAnswers.hasRoom(unreadBefore, served.value().length, clients.size());
+            boolean keepsValue = !(answer instanceof Answer.Served served) || hasRoomFor(slot, served);
+            if (!keepsValue) {
+                flushTurn(); // output of this turn is not unread yet
+                keepsValue = hasRoomFor(slot, (Answer.Served) answer);
+            }
             protocol.answer(slot, keepsValue ? answer : new Answer.Failed("the client does not read its answers"));
             updateState(true);
         }
 
+        private boolean hasRoomFor(long slot, Answer.Served served) {
+            // An answer that is next in order releases the answers held back behind it, so those don't count.
+            long unreadBefore = protocol.isNext(slot) ? queuedBytes() : unreadBytes;
+            return unreadAnswers.hasRoom(unreadBefore, served.value().length, clients.size());
+        }
+
         @Override
         public void scheduleCommands() {
             if (!isDue) {
@@ -1025,6 +1135,7 @@
 
         /** Closes the connection at once; the reason is counted under "closed". */
         void terminate(String reason) {
+            flushTurn();
             if (isOpen()) {
                 count("closed", reason);
                 LOG.debug("closing client {}: {}", id, reason);
--- a/router/src/main/java/stoatrill/net/Link.java
+++ b/router/src/main/java/stoatrill/net/Link.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
-import java.util.ArrayDeque;
 import stoatrill.core.DeadlineQueue.Deadline;
 import stoatrill.io.Connection;
 import stoatrill.io.IoResult;
@@ -24,10 +23,15 @@
     /** Time without progress after which partly written output counts as stalled. */
     private static final long STALL_NANOS = 100_000_000L;
 
+    /** Output of a turn that is written at once when there is so much of it. */
+    private static final long TURN_OUTPUT_LIMIT_BYTES = 64 * 1024;
+
     private final EventLoop loop;
-    private final ArrayDeque<ByteBuffer> outbound = new ArrayDeque<>();
+    private final OutputQueue output = new OutputQueue();
     private Connection connection;
-    private long queuedBytes;
+    /** Whether the event loop has been asked to write the queued output at the end of this step. */
+    private boolean isFlushScheduled;
+
     private boolean isOpen = true;
     private boolean hasFailed;
     /** The next one in the event loop's list of connections to be closed. */
@@ -92,7 +96,7 @@
     }
 
     long queuedBytes() {
-        return queuedBytes;
+        return output.queuedBytes();
     }
 
     Connection connection() {
@@ -101,28 +105,56 @@
 
     /** Writes what the socket takes and queues the rest; {@link #onFlushed} follows once all is written. */
     public void write(byte[] bytes) {
+        if (isOpen) {
+            output.add(bytes);
+            flushAndReport();
+        }
+    }
+
+    /** Queues output that leaves with what else is queued in this turn, in few system calls. */
+    void writeInTurn(byte[] bytes) {
         if (!isOpen) {
             return;
         }
-        outbound.add(ByteBuffer.wrap(bytes));
-        queuedBytes += bytes.length;
+        boolean wasBelowLimit = output.queuedBytes() < TURN_OUTPUT_LIMIT_BYTES;
+        output.add(bytes);
+        if (wasBelowLimit && output.queuedBytes() >= TURN_OUTPUT_LIMIT_BYTES) {
+            flushAndReport();
+        } else if (!isFlushScheduled) {
+            loop.flushLater(this);
+            isFlushScheduled = true;
+        }
+    }
+
+    /** Writes what {@link #writeInTurn} has queued in this turn, if anything. */
+    void flushTurn() {
+        if (isFlushScheduled) {
+            isFlushScheduled = false;
+            if (isOpen && !hasFailed && !output.isEmpty()) {
+                flushAndReport();
+            }
+        }
+    }
+
+    private void flushAndReport() {
         if (flush()) {
             onFlushed();
+        } else {
+            onPartlyFlushed();
         }
     }
 
     /** Whether part of the message being written is sent, and the peer has taken some of it recently. */
     boolean isWriteProgressing() {
-        ByteBuffer first = outbound.peek();
+        ByteBuffer first = output.first();
         return first != null && first.position() > 0 && System.nanoTime() - lastProgressAt < STALL_NANOS;
     }
 
     /** Writes what the socket takes; returns whether nothing is left. */
     private boolean flush() {
-        while (!outbound.isEmpty()) {
-            ByteBuffer first = outbound.peek();
-            IoResult result = connection.write(first);
-            queuedBytes -= result.bytes();
+        while (!output.isEmpty()) {
+            IoResult result = connection.write(output.first());
+            output.recordWritten(result.bytes());
             boolean mayContinue =
                     switch (result.outcome()) {
                         case PROGRESS -> true;
@@ -144,9 +176,6 @@
             }
             retryDelayNanos = FIRST_RETRY_NANOS;
             lastProgressAt = System.nanoTime();
-            if (!first.hasRemaining()) {
-                outbound.poll();
-            }
         }
         connection.setInterest(SelectionKey.OP_WRITE, false);
         return true;
@@ -164,13 +193,8 @@
 
     /** Writes queued output, if it may still be written. */
     private void writeQueued() {
-        if (!isOpen || outbound.isEmpty() || !mayWriteQueued()) {
-            return;
-        }
-        if (flush()) {
-            onFlushed();
-        } else {
-            onPartlyFlushed();
+        if (isOpen && !output.isEmpty() && mayWriteQueued()) {
+            flushAndReport();
         }
     }
 
@@ -213,7 +237,12 @@
 
     /** Reads available data, at most one buffer. */
     ReadResult read(ByteBuffer buffer) {
-        buffer.clear();
+        return read(buffer, buffer.capacity());
+    }
+
+    /** Reads available data, at most one buffer and so many bytes. */
+    ReadResult read(ByteBuffer buffer, int limitBytes) {
+        buffer.clear().limit(Math.min(buffer.capacity(), limitBytes));
         IoResult result = connection.read(buffer);
         return switch (result.outcome()) {
             case PROGRESS -> {
--- a/router/src/main/java/stoatrill/pg/PgClient.java
+++ b/router/src/main/java/stoatrill/pg/PgClient.java
@@ -13,8 +13,6 @@
     private static final int MAX_QUERY_BYTES = 2 * 64 * 1024 + 4096;
 
     private static final int PENDING_REPLY_LIMIT = 64;
-    /** Limits the commands read per turn, so that a client that sends hundreds at once does not delay the others. */
-    private static final int COMMANDS_PER_TURN_LIMIT = 32;
     /** The reply to each request that is refused unread; one array, as there may be thousands. */
     private static final byte[] REFUSAL = encode(new Answer.Refused(0));
 
@@ -72,23 +70,30 @@
     }
 
     private void handleCommands() {
-        long commandLimit = commands + COMMANDS_PER_TURN_LIMIT;
         try {
-            while (!closed && !startupComplete && input.readNext()) {
+            while (!closed && !startupComplete && readNextInTurn()) {
                 handleStartup();
             }
-            while (!closed && startupComplete && !isAwaitingAnswers() && input.readNext()) {
+            while (!closed && startupComplete && !isAwaitingAnswers() && readNextInTurn()) {
                 commands++;
                 handleCommand();
-                if (commands == commandLimit && input.hasUnreadBytes()) {
-                    proceedScheduled = true;
-                    environment.scheduleCommands();
-                    return;
-                }
             }
         } catch (PgException e) {
             failConnection(e.sqlState, e.getMessage());
         }
+        if (!closed && !isAwaitingAnswers() && input.hasNext()) {
+            proceedScheduled = true; // the credit of this turn is used up
+            environment.scheduleCommands();
+        }
+    }
+
+    /** Moves to the next message, if there is one and the turn has credit for it. */
+    private boolean readNextInTurn() throws PgException {
+        if (!environment.turn().hasCredit() || !input.readNext()) {
+            return false;
+        }
+        environment.turn().chargeMessage(input.bodySize());
+        return true;
     }
 
     private void handleStartup() throws PgException {
@@ -151,12 +156,11 @@
             }
             case 'P', 'B', 'E', 'D', 'C' -> {
                 skipUntilSync = true;
-                queueReply(Messages.errorResponse("ERROR", "0A000", "only simple queries are spoken", null));
+                queueReply(encodeError("0A000", "only simple queries are spoken"));
             }
             case 'F' ->
-                queueReply(Messages.join(
-                        Messages.errorResponse("ERROR", "0A000", "function calls are not spoken", null),
-                        Messages.readyForQuery()));
+                queueReply(
+                        Messages.join(encodeError("0A000", "function calls are not spoken"), Messages.readyForQuery()));
             case 'H', 'd', 'c', 'f' -> {} // Flush, and copy messages though no copy was begun: no reply is due
             default -> throw new PgException("08P01", "message type " + type + " is unknown");
         }
@@ -186,15 +190,16 @@
         try {
             environment.submit(reply.slot, PgStatement.parse(statement).withTeam(team));
         } catch (PgException e) {
-            complete(
-                    reply,
-                    Messages.join(
-                            Messages.errorResponse("ERROR", e.sqlState, e.getMessage(), null),
-                            Messages.readyForQuery()));
+            complete(reply, Messages.join(encodeError(e.sqlState, e.getMessage()), Messages.readyForQuery()));
             flushReplies();
         }
     }
 
+    private byte[] encodeError(String sqlState, String text) {
+        environment.recordError(sqlState);
+        return Messages.errorResponse("ERROR", sqlState, text, null);
+    }
+
     private static boolean isBlank(byte[] statement) {
         for (byte character : statement) {
             if (character > ' ' && character != ';') {
@@ -337,6 +342,7 @@
         refusesRequests = true;
         try {
             while (!closed && input.unreadSize() >= unparsedLimitBytes && input.readNext()) {
+                environment.turn().chargeMessage(input.bodySize());
                 commands++;
                 handleCommand();
             }
@@ -371,6 +377,7 @@
 
     /** Ends the connection with an error, sent after the replies that are still pending. */
     private void failConnection(String sqlState, String text) {
+        environment.recordError(sqlState);
         queueReply(Messages.errorResponse("FATAL", sqlState, text, null));
         close();
     }
--- a/router/src/test/java/stoatrill/pg/PgClientPiecesTest.java
+++ b/router/src/test/java/stoatrill/pg/PgClientPiecesTest.java
@@ -12,6 +12,7 @@
 import stoatrill.core.Answer;
 import stoatrill.core.ClientRequest;
 import stoatrill.net.ClientProtocol;
+import stoatrill.net.TurnAccount;
 
 /** Checks that the client protocol reads the same requests however the client's bytes are split. */
 class PgClientPiecesTest {
@@ -24,6 +25,8 @@
         private final List<String> requests = new ArrayList<>();
         private final StringBuilder written = new StringBuilder();
         private final PgClient client = new PgClient(this);
+        private final TurnAccount turn = new TurnAccount();
+        private long turnNumber;
         private boolean closed;
         private boolean proceedRequested;
 
@@ -31,6 +34,7 @@
             client.receive(ByteBuffer.wrap(bytes, start, end - start));
             do {
                 proceedRequested = false;
+                turn.beginTurn(turnNumber++);
                 client.readCommands();
             } while (proceedRequested);
         }
@@ -74,6 +78,14 @@
             written.append(new String(bytes, StandardCharsets.ISO_8859_1));
         }
 
+        @Override
+        public void recordError(String sqlState) {}
+
+        @Override
+        public TurnAccount turn() {
+            return turn;
+        }
+
         @Override
         public void closeAfterWrites() {
             closed = true;
@@ -136,6 +148,24 @@
         }
     }
 
+    @Test
+    void oneTurnHandlesABoundedPartOfTheInput() {
+        byte[] flush = message("H", new byte[0]);
+        ByteBuffer flood = ByteBuffer.allocate(1000 * flush.length);
+        while (flood.hasRemaining()) {
+            flood.put(flush);
+        }
+        Conversation conversation = new Conversation();
+        byte[] startup = startup();
+        conversation.receive(startup, 0, startup.length);
+        conversation.turn.beginTurn(conversation.turnNumber++);
+        conversation.client.receive(flood.flip());
+        conversation.client.readCommands();
+        long handled = conversation.client.commandCount();
+        assertTrue(handled <= 32, handled + " messages in one turn");
+        assertTrue(conversation.proceedRequested, "the rest is handled in later turns");
+    }
+
     @Test
     void readsTheSameRequestsHoweverTheBytesAreSplit() {
         byte[] bytes = clientMessages();
