Read a client that keeps little input whatever the others keep

Cause: once all clients together kept 6 MiB of input, no client was read, and the flooding ones kept what they had until 32 commands a turn had worked it off. Class: a bound on all that a few can use up.

Change: a client below its share (3 MiB by the number of clients, 4 KiB at least) is read always; one above it waits, as does the rest of its unfinished message while the whole is used up. A read takes no more than there is room for, so that 700 clients keep 12 MiB at most.

--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -505,9 +505,6 @@
         for (Iterator<SelectionKey> keys = poller.selectedKeys().iterator(); keys.hasNext(); ) {
             SelectionKey key = keys.next();
             if (key.attachment() instanceof ClientLink client) {
-                if (inputBudget.isExhausted()) {
-                    continue; // stays selected until commands of this iteration have been handled
-                }
                 client.scheduleRead();
             } else if (!(key.attachment() instanceof Link link)) {
                 canAccept = true;
@@ -954,8 +951,9 @@
             if (!isOpen()) {
                 return 0;
             }
-            boolean mayRead = isHalfClosed || isClosing || hasInputRoom() || !protocol.hasCompleteCommand();
-            return mayRead ? BUFFER_BYTES : 0;
+            return isHalfClosed || isClosing
+                    ? BUFFER_BYTES
+                    : inputBudget.readableBytes(unparsedBytes, clients.size(), !protocol.hasCompleteCommand());
         }
 
         private boolean hasInputRoom() {
@@ -964,7 +962,7 @@
 
         /** Whether there is more input, and room for it, that has to be read before further commands may begin. */
         private boolean mustReadFirst() {
-            return hasUnreadInput && isOpen() && !isStopped && !inputBudget.isExhausted() && hasInputRoom();
+            return hasUnreadInput && isOpen() && !isStopped && hasInputRoom();
         }
 
         /** Whether all that is kept is a part of one message, which can be handled only once the rest has come. */
