Log once in ten seconds which limits clients met, and who cost most

Change: net.LimitReport counts closes by reason, refusals, repeats, errors by SQLSTATE, denied sends and turns that were used up, and names the costliest client with its messages, work and turns; one INFO line in ten seconds, none if no limit was met. The debug line of a close names the peer.

--- a/router/src/main/java/stoatrill/io/Connection.java
+++ b/router/src/main/java/stoatrill/io/Connection.java
@@ -56,6 +56,11 @@
         return connectedImmediately;
     }
 
+    /** The peer's address and port, for logs; takes no system call. */
+    public String peerAddress() {
+        return String.valueOf(channel.socket().getRemoteSocketAddress());
+    }
+
     /** A call on the socket, which returns a count or throws. */
     private interface Call {
         int invoke() throws IOException;
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -49,6 +49,7 @@
 public final class EventLoop implements Effects, DiscoveryClient.Environment {
     private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long NANOS_PER_SECOND = 1_000 * NANOS_PER_MILLI;
     private static final int BUFFER_BYTES = 64 * 1024;
     private static final int BACKLOG_LIMIT = 512;
     /** While a client has at least this many bytes of queued output, no further command of it is read. */
@@ -121,6 +122,7 @@
     /** Consecutive calls that must be refused a descriptor before the router concludes that none is free. */
     private static final int REFUSAL_LIMIT = 4;
 
+    private static final long LIMIT_REPORT_INTERVAL_NANOS = 10_000 * NANOS_PER_MILLI;
     private static final long COUNTS_INTERVAL_NANOS = 1_000 * NANOS_PER_MILLI;
     /** How long a router with pushed lists waits for its agent, which answers at once, before it serves clients. */
     private static final long FIRST_LIST_WAIT_NANOS = 500 * NANOS_PER_MILLI;
@@ -172,6 +174,7 @@
 
     private DiscoveryLink discoveryLink;
     private long nextClientId;
+    private final LimitReport limitReport = new LimitReport();
     private final InputBudget inputBudget = new InputBudget();
     private final UnreadAnswers unreadAnswers = new UnreadAnswers();
     private boolean isReady;
@@ -266,11 +269,23 @@
         compareClocks();
         checkClients();
         acceptPeriodically();
+        deadlines.schedule(now() + LIMIT_REPORT_INTERVAL_NANOS, this::logLimits);
         if (eventCounts != null) {
             logCounts();
         }
     }
 
+    /** Logs one line an interval if clients met a limit, however often they did. */
+    private void logLimits() {
+        clients.values().forEach(client -> limitReport.offer(client.takeCost()));
+        String line = limitReport.takeLine();
+        if (line != null) {
+            LOG.info(
+                    "limits met by clients in the last {} s: {}", LIMIT_REPORT_INTERVAL_NANOS / NANOS_PER_SECOND, line);
+        }
+        deadlines.schedule(now() + LIMIT_REPORT_INTERVAL_NANOS, this::logLimits);
+    }
+
     private void logCounts() {
         LOG.debug("{}", eventCounts.takeSummary());
         deadlines.schedule(now() + COUNTS_INTERVAL_NANOS, this::logCounts);
@@ -913,6 +928,18 @@
             return turnAccount;
         }
 
+        private void recordExhaustedTurn() {
+            if (!turnAccount.hasCredit() && protocol.hasCompleteCommand()) {
+                turnAccount.recordExhaustedTurn();
+                count("turn", "used up");
+            }
+        }
+
+        /** What the client has cost since the last report. */
+        LimitReport.ClientCost takeCost() {
+            return turnAccount.takeCost(connection().peerAddress());
+        }
+
         /** Requests that the client is read once it is its turn. */
         void scheduleRead() {
             if (!isReadScheduled) {
@@ -1009,6 +1036,7 @@
             if (isOpen() && !hasFailed() && !isHalfClosed && !isClosing && readsItsAnswers()) {
                 long commandsBefore = protocol.commandCount();
                 protocol.readCommands();
+                recordExhaustedTurn();
                 updateState(protocol.commandCount() > commandsBefore);
             }
         }
@@ -1136,7 +1164,7 @@
             flushTurn();
             if (isOpen()) {
                 count("closed", reason);
-                LOG.debug("closing client {}: {}", id, reason);
+                LOG.debug("closing client {} {}: {}", id, connection().peerAddress(), reason);
                 reducer.recordClientClose(id);
                 closeSocket();
                 onLost();
@@ -1156,6 +1184,7 @@
 
         @Override
         void onLost() {
+            limitReport.offer(takeCost());
             clients.remove(id);
             clientsByCancelKey.remove(cancelKey);
             shareDescriptors();
@@ -1441,6 +1470,7 @@
 
     @Override
     public void count(String subject, String cause) {
+        limitReport.count(subject, cause);
         if (eventCounts != null) {
             eventCounts.increment(subject, cause);
         }
--- a/router/src/main/java/stoatrill/net/TurnAccount.java
+++ b/router/src/main/java/stoatrill/net/TurnAccount.java
@@ -18,6 +18,11 @@
     private long currentTurn = NO_TURN;
     private long creditBytes;
     private long chargedBytes;
+    private long messageCount;
+    private long exhaustedTurnCount;
+    private long reportedBytes;
+    private long reportedMessageCount;
+    private long reportedExhaustedTurnCount;
 
     /**
      * Adds the credit of a turn, once however often it is called in that turn.
@@ -38,12 +43,31 @@
 
     /** Charges a message of so many bytes. */
     public void chargeMessage(int messageBytes) {
+        messageCount++;
         creditBytes -= messageBytes + MESSAGE_OVERHEAD_BYTES;
         chargedBytes += messageBytes + MESSAGE_OVERHEAD_BYTES;
     }
 
+    /** Records that the credit of a turn ended before the input did. */
+    void recordExhaustedTurn() {
+        exhaustedTurnCount++;
+    }
+
     /** All that was ever charged, in bytes. */
     long chargedBytes() {
         return chargedBytes;
     }
+
+    /** Returns what was charged since the last call. */
+    LimitReport.ClientCost takeCost(String address) {
+        LimitReport.ClientCost cost = new LimitReport.ClientCost(
+                address,
+                messageCount - reportedMessageCount,
+                chargedBytes - reportedBytes,
+                exhaustedTurnCount - reportedExhaustedTurnCount);
+        reportedMessageCount = messageCount;
+        reportedBytes = chargedBytes;
+        reportedExhaustedTurnCount = exhaustedTurnCount;
+        return cost;
+    }
 }
