Bound what servers may take of an iteration, and count the headers of their messages

Cause: an answer was bounded by the bodies of its messages, so that empty notices could go on for as long as the attempt was waited for, and an iteration read 64 KiB from each of 128 connections, in the selector's order. Change: headers count; an iteration reads 1 MiB from servers, those that waited longest first, and discovery before them.

--- a/lab/src/main/java/stoatrill/lab/flood/Crowd.java
+++ b/lab/src/main/java/stoatrill/lab/flood/Crowd.java
@@ -5,8 +5,10 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 
 /**
  * Hundreds of clients that are connected at once and do the same; one thread serves them all in turns. They read what
@@ -14,6 +16,8 @@
  */
 public final class Crowd implements AutoCloseable {
     private static final int READ_BUFFER_BYTES = 64 * 1024;
+    private static final int ID_AREA_LENGTH = 200;
+    private static final int ID_DIGIT_COUNT = 5;
 
     private final CrowdKind kind;
     private final InetSocketAddress address;
@@ -56,7 +60,7 @@
         List<Member> members = new ArrayList<>();
         try {
             for (int i = 0; i < clientCount && !closed; i++) {
-                Member member = connect();
+                Member member = connect(i);
                 if (member != null) {
                     members.add(member);
                 }
@@ -71,16 +75,27 @@
         }
     }
 
-    private Member connect() {
+    private Member connect(int number) {
         try {
             SocketChannel channel = SocketChannel.open(address);
             channel.configureBlocking(false);
-            return new Member(channel, kind.startup(), input);
+            return new Member(channel, kind.startup(), kind == CrowdKind.HELD_BACK_REPLIES ? withId(number) : input);
         } catch (IOException e) {
             return null;
         }
     }
 
+    /** The input with an id that no other client has. */
+    private byte[] withId(int number) {
+        byte[] own = input.clone();
+        String text = new String(input, 0, ID_AREA_LENGTH, StandardCharsets.ISO_8859_1);
+        int digits = text.indexOf(CrowdKind.UNIQUE_ID) + CrowdKind.UNIQUE_ID.length() - ID_DIGIT_COUNT;
+        byte[] id =
+                String.format(Locale.ROOT, "%0" + ID_DIGIT_COUNT + "d", number).getBytes(StandardCharsets.US_ASCII);
+        System.arraycopy(id, 0, own, digits, id.length);
+        return own;
+    }
+
     /** Reads what a client was sent and writes its next piece; false once its connection has ended. */
     private boolean advance(Member member) {
         try {
--- a/lab/src/main/java/stoatrill/lab/flood/CrowdKind.java
+++ b/lab/src/main/java/stoatrill/lab/flood/CrowdKind.java
@@ -37,6 +37,19 @@
             return SLOW_PIECE_BYTES;
         }
     },
+    /** Sends thousands of messages with small replies behind a write that no server answers. */
+    HELD_BACK_REPLIES {
+        @Override
+        byte[] input() {
+            byte[] write = WireMessages.write(UNIQUE_ID, HELD_WAIT_MILLIS);
+            byte[] sync = FloodKind.SYNCS.message(0);
+            byte[] input = Arrays.copyOf(write, write.length + SYNC_COUNT * sync.length);
+            for (int i = 0; i < SYNC_COUNT; i++) {
+                System.arraycopy(sync, 0, input, write.length + i * sync.length, sync.length);
+            }
+            return input;
+        }
+    },
     /** Stops in the middle of a startup message with very many parameters. */
     HALF_STARTUPS {
         @Override
@@ -51,6 +64,11 @@
         }
     };
 
+    /** Replaced by an id of the client's own. */
+    static final String UNIQUE_ID = "crowd-00000";
+
+    private static final long HELD_WAIT_MILLIS = 20_000;
+    private static final int SYNC_COUNT = 100_000;
     private static final int STATEMENT_COUNT = 8;
     private static final int VALUE_BYTES = 64 * 1024;
     private static final int SLOW_PIECE_BYTES = 1000;
--- a/lab/src/main/java/stoatrill/lab/flood/Probes.java
+++ b/lab/src/main/java/stoatrill/lab/flood/Probes.java
@@ -1,6 +1,7 @@
 package stoatrill.lab.flood;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
@@ -67,6 +68,8 @@
                     kept = kept == null || kept.hasEnded() ? reconnect(kept) : kept;
                     outcome = kept.ask(read) ? Outcome.ANSWERED : Outcome.TURNED_AWAY;
                 } while (outcome == Outcome.TURNED_AWAY && mayAskAgain(startedAt));
+            } catch (ConnectException e) {
+                outcome = Outcome.TURNED_AWAY;
             } catch (IOException e) {
                 outcome = Outcome.UNANSWERED;
             }
--- a/lab/src/test/java/stoatrill/lab/flood/LateForCrowdTest.java
+++ b/lab/src/test/java/stoatrill/lab/flood/LateForCrowdTest.java
@@ -22,13 +22,16 @@
     @ParameterizedTest
     @EnumSource
     void othersAreAnsweredInTime(CrowdKind kind, @TempDir Path dir) throws Exception {
-        try (TwoRouters routers = new TwoRouters(dir)) {
+        try (FloodRig routers = new FloodRig(dir)) {
             Probes flooded = new Probes(routers.flooded().port());
             Probes quiet = new Probes(routers.quiet().port());
             try (flooded;
                     quiet) {
                 Wait.until(() -> flooded.count() >= PROBES_BEFORE_COUNT && quiet.count() >= PROBES_BEFORE_COUNT);
                 int before = flooded.count();
+                for (int node = 0; kind == CrowdKind.HELD_BACK_REPLIES && node < FloodRig.NODES_COUNT; node++) {
+                    routers.deployment().hang(node, true);
+                }
                 try (Crowd crowd =
                         new Crowd(kind, CLIENTS_COUNT, routers.flooded().port())) {
                     Wait.until(() -> flooded.count() >= before + PROBES_DURING_COUNT && crowd.isEverythingSent());
--- a/lab/src/test/java/stoatrill/lab/flood/LateForFloodTest.java
+++ b/lab/src/test/java/stoatrill/lab/flood/LateForFloodTest.java
@@ -22,11 +22,11 @@
     private static final long FLOOD_LIMIT_NANOS = 5_000_000_000L;
     private static final long MOST_RESIDENT_KIB = 192 * 1024L;
 
-    private static TwoRouters routers;
+    private static FloodRig routers;
 
     @BeforeAll
     static void start(@TempDir Path dir) throws Exception {
-        routers = new TwoRouters(dir);
+        routers = new FloodRig(dir);
     }
 
     @AfterAll
--- a/lab/src/test/java/stoatrill/lab/flood/RanTwiceAfterLeavingTest.java
+++ b/lab/src/test/java/stoatrill/lab/flood/RanTwiceAfterLeavingTest.java
@@ -23,11 +23,11 @@
     private static final int RAN_BEFORE_LEAVING_COUNT = 30;
     private static final long WAIT_MILLIS = 3000;
 
-    private static TwoRouters routers;
+    private static FloodRig routers;
 
     @BeforeAll
     static void start(@TempDir Path dir) throws Exception {
-        routers = new TwoRouters(dir);
+        routers = new FloodRig(dir);
     }
 
     @AfterAll
--- a/router/src/main/java/stoatrill/core/RecentWrites.java
+++ b/router/src/main/java/stoatrill/core/RecentWrites.java
@@ -7,8 +7,8 @@
  * The ids of requests that may have run at a server and must not run again, for some time after their end. A client
  * that lost its connection may send such a request again on another one.
  *
- * <p>Ids are kept as 64-bit hashes under a secret seed, in generations that are dropped as a whole. The number of ids is
- * bounded; a full store tells so, and the caller then refuses what it could not remember. Not thread-safe.
+ * <p>Ids are kept as 64-bit hashes under a secret seed, in generations that are dropped as a whole. The number of ids
+ * is bounded; a full store tells so, and the caller then refuses what it could not remember. Not thread-safe.
  */
 final class RecentWrites {
     private static final int GENERATIONS_PER_RETENTION_COUNT = 4;
--- a/router/src/main/java/stoatrill/core/Reducer.java
+++ b/router/src/main/java/stoatrill/core/Reducer.java
@@ -36,8 +36,8 @@
     /** Upper bound on a client's announced wait, as a multiple of the longest client timeout of all classes. */
     private static final long MAX_WAIT_FACTOR = 10;
     /**
-     * Ids that are remembered of writes that may have run. With the usual deadlines that is thousands of writes a second
-     * for the whole retention.
+     * Ids that are remembered of writes that may have run. With the usual deadlines that is thousands of writes a
+     * second for the whole retention.
      */
     private static final int RECENT_WRITES_LIMIT_COUNT = 1 << 17;
     /** How long the router keeps an idle connection, as a ratio of the time after which servers close it. */
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -7,7 +7,6 @@
 import java.nio.channels.SocketChannel;
 import java.time.Instant;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -64,7 +63,7 @@
     private static final long TURN_WORK_LIMIT_BYTES = 8 * TurnAccount.QUANTUM_BYTES;
     /** What looking at a client costs that has no message to handle. */
     private static final long LEAST_VISIT_COST_BYTES = 256;
-    /** Bytes that one iteration reads from all clients. */
+    /** Bytes that one iteration reads from all clients, and from all servers. */
     private static final long TURN_READ_LIMIT_BYTES = 1 << 20;
     /** After SIGTERM the load balancer in front still sends new connections for up to 0.4 s. */
     private static final long ACCEPT_DURING_STOP_NANOS = 500 * NANOS_PER_MILLI;
@@ -152,6 +151,8 @@
     private Link firstFailedLink;
     /** Clients that can be read, the one that has waited longest first. */
     private final ArrayDeque<ClientLink> readableClients = new ArrayDeque<>();
+    /** Servers that the selector has found, the one that has waited longest first. */
+    private final ArrayDeque<ServerLink> readyServers = new ArrayDeque<>();
     /** Clients whose received bytes may contain a command. */
     private final ArrayDeque<ClientLink> dueClients = new ArrayDeque<>();
     /** Connections with output that leaves once the step at hand is done. */
@@ -160,6 +161,8 @@
     private long turn;
     /** Bytes read from clients so far. */
     private long readBytes;
+    /** Bytes read from servers in this iteration. */
+    private long serverReadBytes;
 
     private final DescriptorBudget descriptorBudget;
     /** Endpoints of server connections that could not be opened yet for lack of a descriptor, by connection id. */
@@ -376,6 +379,7 @@
         boolean mayWait = deferredTasks.isEmpty()
                 && dueClients.isEmpty()
                 && readableClients.isEmpty()
+                && readyServers.isEmpty()
                 && firstFailedLink == null
                 && poller.selectedKeys().isEmpty();
         long waitNanos = mayWait ? reducer.openDeferredConnections(now()) - now() : 0;
@@ -489,10 +493,9 @@
     private void processEvents() {
         turn++;
         compareClocks();
-        List<Link> otherLinks = new ArrayList<>();
-        boolean canAccept = takeSelectedKeys(otherLinks);
+        boolean canAccept = takeSelectedKeys();
         readClients();
-        otherLinks.forEach(this::handle);
+        handleServers();
         runGuarded(null, () -> reducer.runDueDeadlines(now()));
         flushLinks();
         handleDueClients();
@@ -511,34 +514,45 @@
         }
     }
 
-    /**
-     * Queues the clients that the selector has found, and collects a limited number of other connections; the rest stay
-     * selected for the next iteration. Returns whether a connection can be accepted.
-     */
-    private boolean takeSelectedKeys(List<Link> otherLinks) {
+    /** Queues the connections that the selector has found; returns whether a connection can be accepted. */
+    private boolean takeSelectedKeys() {
         boolean canAccept = false;
         for (Iterator<SelectionKey> keys = poller.selectedKeys().iterator(); keys.hasNext(); ) {
             SelectionKey key = keys.next();
-            if (key.attachment() instanceof ClientLink client) {
-                client.scheduleRead();
-            } else if (!(key.attachment() instanceof Link link)) {
-                canAccept = true;
-            } else if (otherLinks.size() < SERVER_EVENT_LIMIT) {
-                otherLinks.add(link);
+            keys.remove();
+            if (key.attachment() instanceof Link link) {
+                link.scheduleEvents();
             } else {
-                continue;
+                canAccept = true;
             }
-            keys.remove();
         }
         return canAccept;
     }
 
+    /**
+     * Handles discovery and the servers that have waited longest, a limited number of them and of bytes; the others
+     * wait for the next iteration.
+     */
+    private void handleServers() {
+        if (discoveryLink != null && discoveryLink.isEventScheduled) {
+            discoveryLink.isEventScheduled = false;
+            handle(discoveryLink);
+        }
+        serverReadBytes = 0;
+        int limit = Math.min(readyServers.size(), SERVER_EVENT_LIMIT);
+        for (int n = 0; n < limit && serverReadBytes < TURN_READ_LIMIT_BYTES; n++) {
+            ServerLink server = readyServers.poll();
+            server.isEventScheduled = false;
+            handle(server);
+        }
+    }
+
     /** Reads the clients that have waited longest, up to a total of bytes; the others wait for the next iteration. */
     private void readClients() {
         long limit = readBytes + TURN_READ_LIMIT_BYTES;
         for (int n = readableClients.size(); n > 0 && readBytes < limit; n--) {
             ClientLink client = readableClients.poll();
-            client.isReadScheduled = false;
+            client.isEventScheduled = false;
             handle(client);
         }
     }
@@ -854,9 +868,6 @@
         private boolean isClosing;
         private boolean isHalfClosed;
         private boolean isDue;
-        /** Whether it is among {@link #readableClients}. */
-        private boolean isReadScheduled;
-
         private final TurnAccount turnAccount = new TurnAccount();
         /** Whether the last read was ended by a limit, so that the end of the connection may be behind more input. */
         private boolean hasUnreadInput;
@@ -940,12 +951,9 @@
             return turnAccount.takeCost(connection().peerAddress());
         }
 
-        /** Requests that the client is read once it is its turn. */
-        void scheduleRead() {
-            if (!isReadScheduled) {
-                readableClients.add(this);
-                isReadScheduled = true;
-            }
+        @Override
+        void enqueueEvents() {
+            readableClients.add(this);
         }
 
         @Override
@@ -1028,7 +1036,7 @@
         void readCommands() {
             isDue = false;
             if (mustReadFirst()) {
-                scheduleRead();
+                scheduleEvents();
                 scheduleCommands();
                 return;
             }
@@ -1247,8 +1255,14 @@
             }
         }
 
+        @Override
+        void enqueueEvents() {
+            readyServers.add(this);
+        }
+
         @Override
         void onReceived(ByteBuffer bytes) {
+            serverReadBytes += bytes.remaining();
             protocol.receive(bytes);
         }
 
@@ -1369,6 +1383,9 @@
             discoveryClient.connected(now());
         }
 
+        @Override
+        void enqueueEvents() {} // the loop looks at the only one in each iteration
+
         @Override
         void onReceived(ByteBuffer bytes) {
             discoveryClient.received(now(), bytes);
--- a/router/src/main/java/stoatrill/net/Link.java
+++ b/router/src/main/java/stoatrill/net/Link.java
@@ -37,6 +37,9 @@
     /** The next one in the event loop's list of connections to be closed. */
     Link nextFailed;
 
+    /** Whether the event loop has been asked to handle what the selector found. */
+    boolean isEventScheduled;
+
     private boolean peerEndedCleanly;
     private Deadline writeRetry;
     private long retryDelayNanos = FIRST_RETRY_NANOS;
@@ -211,6 +214,17 @@
         }
     }
 
+    /** Requests that the event loop handles what the selector found once it is this connection's turn. */
+    void scheduleEvents() {
+        if (!isEventScheduled) {
+            enqueueEvents();
+            isEventScheduled = true;
+        }
+    }
+
+    /** Adds this connection to the event loop's queue of those to be handled. */
+    abstract void enqueueEvents();
+
     /** Performs the operations that the selector found ready. */
     void handleSelected(ByteBuffer buffer) {
         connection.confirmRegistration();
--- a/router/src/main/java/stoatrill/pg/PgServer.java
+++ b/router/src/main/java/stoatrill/pg/PgServer.java
@@ -19,6 +19,8 @@
 
     private static final int MAX_OTHER_MESSAGE_BYTES = 8 << 10;
     private static final int MAX_ANSWER_BYTES = MAX_ROW_BYTES + 4 * MAX_OTHER_MESSAGE_BYTES;
+    /** The type and the length field, which a message without a body costs too. */
+    private static final int MESSAGE_HEADER_BYTES = 5;
     /** The largest answer whose space is kept for the next one; there may be a thousand connections at rest. */
     private static final int MAX_KEPT_ANSWER_BYTES = 1024;
 
@@ -127,7 +129,7 @@
     }
 
     private void handleMessage() throws PgException {
-        answerSize += input.bodySize();
+        answerSize += input.bodySize() + MESSAGE_HEADER_BYTES;
         require(answerSize <= MAX_ANSWER_BYTES);
         switch (input.type()) {
             case 'R' -> require(input.bodySize() == 4 && input.int32(0) == 0); // only AuthenticationOk, no password
