Count replies that are held back with the memory they take

Cause: of a reply that waits for one before it only the bytes counted, six for a Sync, though it takes some 60 more; 4,096 may wait on each connection. Change: 64 bytes a reply are added, so that the share of unread answers holds. Unit test: PgClientPiecesTest.

--- a/router/src/main/java/stoatrill/pg/PgClient.java
+++ b/router/src/main/java/stoatrill/pg/PgClient.java
@@ -17,6 +17,9 @@
     private static final byte[] REFUSAL = encode(new Answer.Refused(0));
 
     private static final byte[] ENCRYPTION_DECLINED = {'N'};
+
+    /** Memory that a reply takes beside its bytes while it is held back. */
+    private static final int REPLY_OVERHEAD_BYTES = 64;
     /** Replies to the commands read so far, oldest first. */
     private final ArrayDeque<PendingReply> pendingReplies = new ArrayDeque<>();
 
@@ -278,13 +281,13 @@
 
     private void complete(PendingReply reply, byte[] bytes) {
         reply.bytes = bytes;
-        unwrittenBytes += bytes.length;
+        unwrittenBytes += bytes.length + REPLY_OVERHEAD_BYTES;
     }
 
     private void flushReplies() {
         while (!pendingReplies.isEmpty() && pendingReplies.peek().bytes != null) {
             byte[] bytes = pendingReplies.poll().bytes;
-            unwrittenBytes -= bytes.length;
+            unwrittenBytes -= bytes.length + REPLY_OVERHEAD_BYTES;
             environment.write(bytes);
         }
         if (closed && pendingReplies.isEmpty()) {
--- a/router/src/test/java/stoatrill/pg/PgClientPiecesTest.java
+++ b/router/src/test/java/stoatrill/pg/PgClientPiecesTest.java
@@ -27,6 +27,7 @@
         private final PgClient client = new PgClient(this);
         private final TurnAccount turn = new TurnAccount();
         private long turnNumber;
+        private boolean answersRequests = true;
         private boolean closed;
         private boolean proceedRequested;
 
@@ -47,7 +48,9 @@
         public void submit(long slot, ClientRequest request) {
             requests.add(
                     request.id() + " " + request.requestClass() + " " + request.waitMillis() + " " + request.group());
-            client.answer(slot, new Answer.Refused(slot));
+            if (answersRequests) {
+                client.answer(slot, new Answer.Refused(slot));
+            }
         }
 
         @Override
@@ -148,6 +151,21 @@
         }
     }
 
+    @Test
+    void repliesThatAreHeldBackCountWithTheMemoryTheyTake() {
+        Conversation conversation = new Conversation();
+        conversation.answersRequests = false;
+        byte[] startup = startup();
+        conversation.receive(startup, 0, startup.length);
+        byte[] read = query(READ.formatted(1));
+        conversation.receive(read, 0, read.length);
+        byte[] sync = message("S", new byte[0]);
+        conversation.receive(sync, 0, sync.length);
+        assertTrue(conversation.client.heldBackBytes() >= 64, conversation.client.heldBackBytes() + " bytes");
+        conversation.client.answer(0, new Answer.Refused(0));
+        assertEquals(0, conversation.client.heldBackBytes());
+    }
+
     @Test
     void oneTurnHandlesABoundedPartOfTheInput() {
         byte[] flush = message("H", new byte[0]);
