Log ten failures of one kind in ten seconds at most

Cause: each failure in handling an event was logged with its stack, and each refused descriptor by a line, so that a peer that causes one over and over flooded the log (FailedHandlerTest shows hundreds of stacks in a second). Change: net.LogThrottle; the report of limits counts all of them. LogThrottleTest.

--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -121,6 +121,9 @@
     /** Consecutive calls that must be refused a descriptor before the router concludes that none is free. */
     private static final int REFUSAL_LIMIT = 4;
 
+    /** Lines of one kind in an interval of the limits' report, which counts all events. */
+    private static final int LOG_LINE_LIMIT_COUNT = 10;
+
     private static final long LIMIT_REPORT_INTERVAL_NANOS = 10_000 * NANOS_PER_MILLI;
     private static final long COUNTS_INTERVAL_NANOS = 1_000 * NANOS_PER_MILLI;
     /** How long a router with pushed lists waits for its agent, which answers at once, before it serves clients. */
@@ -178,6 +181,8 @@
     private DiscoveryLink discoveryLink;
     private long nextClientId;
     private final LimitReport limitReport = new LimitReport();
+    private final LogThrottle failureLines = new LogThrottle(LOG_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
+    private final LogThrottle shortageLines = new LogThrottle(LOG_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
     private final InputBudget inputBudget = new InputBudget();
     private final UnreadAnswers unreadAnswers = new UnreadAnswers();
     private boolean isReady;
@@ -414,7 +419,9 @@
     private void handleFailure(Link link, Throwable e) {
         try {
             count("event", "failed");
-            LOG.error("event handler failed{}", link == null ? "" : "; closing its connection", e);
+            if (failureLines.permits(System.nanoTime())) {
+                LOG.error("event handler failed{}", link == null ? "" : "; closing its connection", e);
+            }
             if (link != null) {
                 link.abort();
             }
@@ -724,7 +731,9 @@
         ClientLink client = new ClientLink(nextClientId++);
         CallResult<Connection> adopted = poller.adopt(channel, client);
         if (adopted.outcome() != Outcome.PROGRESS) {
-            LOG.warn("failed to register an accepted client connection: {}", adopted.reason());
+            if (shortageLines.permits(System.nanoTime())) {
+                LOG.warn("failed to register an accepted client connection: {}", adopted.reason());
+            }
             count("closed", "not adopted");
             return;
         }
@@ -748,7 +757,9 @@
             return; // retried in the next iteration, since the selector keeps reporting it
         }
         consecutiveRefusals = 0;
-        LOG.warn("accept failed: {}", reason);
+        if (shortageLines.permits(System.nanoTime())) {
+            LOG.warn("accept failed: {}", reason);
+        }
         listener.setAccepting(false); // otherwise the loop would spin on it
         scheduleAfter(ACCEPT_RETRY_NANOS, this::startAccepting);
         if (!poller.canOpenSocket()) {
@@ -774,7 +785,9 @@
                     && shedIdleClient()) {
                 // each pass closes one client
             }
-            LOG.warn("no descriptor is free with {} connections open", openConnections);
+            if (shortageLines.permits(System.nanoTime())) {
+                LOG.warn("no descriptor is free with {} connections open", openConnections);
+            }
             if (observedLimitExpiry != null) {
                 observedLimitExpiry.cancel();
             }
--- a/router/src/main/java/stoatrill/net/LimitReport.java
+++ b/router/src/main/java/stoatrill/net/LimitReport.java
@@ -9,8 +9,9 @@
  * clients send. Not thread-safe.
  */
 final class LimitReport {
-    /** What is reported: connections that were closed, requests refused or repeated, errors, turns that were too short. */
-    private static final Set<String> SUBJECTS = Set.of("closed", "refused", "repeated", "error", "turn", "not sent");
+    /** What is reported: closed connections, refused or repeated requests, errors, turns that were too short. */
+    private static final Set<String> SUBJECTS =
+            Set.of("closed", "refused", "repeated", "error", "turn", "not sent", "event", "accept", "open");
 
     /** Ends of connections that say nothing of a limit. */
     private static final Set<String> USUAL_CAUSES = Set.of("peer ended");
