--- a/lab/src/main/java/stoatrill/lab/cli/Lab.java
+++ b/lab/src/main/java/stoatrill/lab/cli/Lab.java
@@ -18,6 +18,7 @@
             Up.class,
             Chaos.class,
             SoakCommand.class,
+            FloodCommand.class,
             FootprintCommand.class,
             Run.class,
             Experiments.class,
