--- a/lab/src/main/java/stoatrill/lab/rig/HistoryEvent.java
+++ b/lab/src/main/java/stoatrill/lab/rig/HistoryEvent.java
@@ -18,11 +18,11 @@
             String closedBy)
             implements HistoryEvent {
         private static final String NO_ROUTER = "-";
-        private static final int TRIES = 7;
-        private static final int CLOSED_BY = 8;
+        private static final int TRY_COUNT_INDEX = 7;
+        private static final int CLOSED_BY_INDEX = 8;
 
         private static Request of(String[] words) {
-            boolean isClosed = words.length > CLOSED_BY && !words[CLOSED_BY].equals(NO_ROUTER);
+            boolean isClosed = words.length > CLOSED_BY_INDEX && !words[CLOSED_BY_INDEX].equals(NO_ROUTER);
             return new Request(
                     words[1],
                     words[2].equals("upload"),
@@ -30,8 +30,8 @@
                     Long.parseLong(words[4]),
                     Long.parseLong(words[5]),
                     words[6],
-                    words.length > TRIES ? Integer.parseInt(words[TRIES]) : 1,
-                    isClosed ? words[CLOSED_BY] : null);
+                    words.length > TRY_COUNT_INDEX ? Integer.parseInt(words[TRY_COUNT_INDEX]) : 1,
+                    isClosed ? words[CLOSED_BY_INDEX] : null);
         }
 
         boolean isServed() {
--- a/lab/src/main/java/stoatrill/lab/rig/LeavingNodes.java
+++ b/lab/src/main/java/stoatrill/lab/rig/LeavingNodes.java
@@ -27,12 +27,12 @@
     /** How long after discovery's return a router may still be without a call that was answered. */
     private static final long NEXT_CALL_NANOS = 6 * NANOS_PER_SECOND;
 
-    private static final long NOT_YET = Long.MAX_VALUE;
+    private static final long NEVER_NANOS = Long.MAX_VALUE;
 
     private final Map<String, Long> leftAt = new HashMap<>();
     private final Map<String, WatchSilent> silences = new HashMap<>();
-    private long awayAt = NOT_YET;
-    private long backAt = NOT_YET;
+    private long awayAt = NEVER_NANOS;
+    private long backAt = NEVER_NANOS;
 
     private LeavingNodes() {}
 
@@ -52,7 +52,7 @@
     private void addDiscoveryFault(Fault fault) {
         if (fault.kind().equals("away")) {
             awayAt = fault.at();
-            backAt = NOT_YET;
+            backAt = NEVER_NANOS;
         } else if (!fault.kind().equals("silence")) {
             backAt = fault.at();
         }
@@ -65,8 +65,8 @@
     private long toldAt(SentToNode sent) {
         long shownAt = leftAt.get(sent.node());
         boolean isAway = awayAt <= shownAt;
-        if (isAway && backAt == NOT_YET) {
-            return NOT_YET - DRAIN_GRACE_NANOS;
+        if (isAway && backAt == NEVER_NANOS) {
+            return NEVER_NANOS - DRAIN_GRACE_NANOS;
         }
         if (isAway && shownAt <= backAt + NEXT_CALL_NANOS) {
             return Math.max(shownAt, backAt) + NEXT_CALL_NANOS;
--- a/lab/src/main/java/stoatrill/lab/scale/hollow/Awaited.java
+++ b/lab/src/main/java/stoatrill/lab/scale/hollow/Awaited.java
@@ -11,7 +11,7 @@
 
 /** What a router has still to be told before it knows of a change, or of a whole list. Used by one thread. */
 final class Awaited {
-    private static final long NOT_YET = -1;
+    private static final long UNKNOWN_NANOS = -1;
     private static final String WHOLE_LIST = "list";
     private static final String PRIMARY = "writer";
 
@@ -24,7 +24,7 @@
 
     private final Map<String, Expected> entries = new HashMap<>();
     private boolean wholeList;
-    private long knownAt = NOT_YET;
+    private long knownAt = UNKNOWN_NANOS;
 
     /**
      * Reads what is awaited: {@code list} for a whole list, or entries as {@code uid:State:access} with commas between
@@ -51,7 +51,7 @@
 
     /** Takes note of an answer that the router has taken in by now. */
     void heard(long now, ListKind kind, List<ServerEntry> heard) {
-        if (knownAt != NOT_YET) {
+        if (knownAt != UNKNOWN_NANOS) {
             return;
         }
         if (kind == ListKind.FULL) {
