--- a/lab/src/main/java/stoatrill/lab/flood/FloodSoak.java
+++ b/lab/src/main/java/stoatrill/lab/flood/FloodSoak.java
@@ -40,7 +40,7 @@
      * What came of a soak.
      *
      * @param probeCount reads of other clients, {@code lost} those answered too late or never
-     * @param turnedAwayCount reads whose connections the router closed unread
+     * @param turnedAwayCount reads whose connections the router closed unread before it was told to end
      * @param ranTwice ids of writes that ran more than once
      * @param troubles lines of the router's log that tell of an error
      * @param endedInTime whether the router ended by itself before SIGKILL
@@ -85,6 +85,7 @@
             FloodSoak soak = new FloodSoak(rig);
             Probes flooded = new Probes(rig.flooded().port());
             Probes quiet = new Probes(rig.quiet().port());
+            long turnedAwayCount;
             long residentKib;
             boolean endedInTime;
             try (flooded;
@@ -94,6 +95,7 @@
                 soak.leaveUnderWrites(seed % 2 == 0 ? Leave.CLOSE : Leave.RESET);
                 int atRest = flooded.count() + PROBES_AT_REST_COUNT;
                 await(() -> flooded.count() >= atRest);
+                turnedAwayCount = FloodVerdict.turnedAway(flooded.results());
                 residentKib = rig.residentKib();
                 endedInTime = soak.endWhileFlooded(seed);
             } finally {
@@ -103,7 +105,7 @@
                     seed,
                     faults.size(),
                     flooded.count(),
-                    FloodVerdict.turnedAway(flooded.results()),
+                    turnedAwayCount,
                     FloodVerdict.lost(flooded.results(), quiet.results()),
                     soak.ranTwice(),
                     residentKib,
