Keep what one client takes in an account of its own, and read clients in smaller parts

Need: the bytes and the turns of a client were fields of the event loop's link; and beside 600 clients that send large statements a new client waited for four buffers of each client before it.

--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -53,8 +53,8 @@
     private static final int BACKLOG_LIMIT = 512;
     /** While a client has at least this many bytes of queued output, no further command of it is read. */
     private static final long QUEUED_LIMIT_BYTES = 512 * 1024;
-    /** Buffers that one iteration reads from one client. */
-    private static final int READ_LIMIT = 4;
+    /** After so many bytes from one client, an iteration reads the next one. */
+    private static final long CLIENT_READ_QUANTUM_BYTES = 64 * 1024;
     /** Replies that may wait for an answer before them; a client that sends further commands then is ended. */
     private static final int WAITING_REPLY_LIMIT = 4096;
     /** Server events that one iteration handles, so that the loop soon looks again for clients that have left. */
@@ -569,9 +569,9 @@
         long work = 0;
         for (int n = dueClients.size(); n > 0 && work < TURN_WORK_LIMIT_BYTES; n--) {
             ClientLink client = dueClients.poll();
-            long workBefore = client.turnAccount.chargedBytes();
+            long workBefore = client.turn().chargedBytes();
             handleCommands(client);
-            work += client.turnAccount.chargedBytes() - workBefore + LEAST_VISIT_COST_BYTES;
+            work += client.turn().chargedBytes() - workBefore + LEAST_VISIT_COST_BYTES;
         }
     }
 
@@ -603,9 +603,9 @@
         while (inputBudget.isExhausted()) {
             ClientLink largest = null;
             for (ClientLink client : clients.values()) {
-                boolean isLarger = largest == null || client.unparsedBytes > largest.unparsedBytes;
+                boolean isLarger = largest == null || client.account.unparsedBytes() > largest.account.unparsedBytes();
                 boolean keepsWithoutUse = client.keepsIncompleteMessage() || !client.readsItsAnswers();
-                largest = isLarger && client.unparsedBytes > 0 && keepsWithoutUse ? client : largest;
+                largest = isLarger && client.account.unparsedBytes() > 0 && keepsWithoutUse ? client : largest;
             }
             if (largest == null) {
                 return;
@@ -881,16 +881,10 @@
         private boolean isClosing;
         private boolean isHalfClosed;
         private boolean isDue;
-        private final TurnAccount turnAccount = new TurnAccount();
+        private final ClientAccount account = new ClientAccount(inputBudget, unreadAnswers);
         /** Whether the last read was ended by a limit, so that the end of the connection may be behind more input. */
         private boolean hasUnreadInput;
 
-        private int unparsedBytes;
-        /** Memory that the unparsed bytes take, as counted in {@link #inputBudget}. */
-        private int inputBufferBytes;
-        /** Bytes of answers that are not written yet, as counted in {@link #unreadAnswers}. */
-        private long unreadBytes;
-
         private final long cancelKey;
         /** Null until the connection is half-closed. */
         private Deadline lingerTimeout;
@@ -949,19 +943,19 @@
 
         @Override
         public TurnAccount turn() {
-            return turnAccount;
+            return account.turn();
         }
 
         private void recordExhaustedTurn() {
-            if (!turnAccount.hasCredit() && protocol.hasCompleteCommand()) {
-                turnAccount.recordExhaustedTurn();
+            if (!turn().hasCredit() && protocol.hasCompleteCommand()) {
+                turn().recordExhaustedTurn();
                 count("turn", "used up");
             }
         }
 
         /** What the client has cost since the last report. */
         LimitReport.ClientCost takeCost() {
-            return turnAccount.takeCost(connection().peerAddress());
+            return turn().takeCost(connection().peerAddress());
         }
 
         @Override
@@ -986,9 +980,10 @@
         void readAvailable(ByteBuffer buffer) {
             ReadResult result = ReadResult.DATA;
             refuseExcessCommands();
-            for (int n = 0; n < READ_LIMIT && result == ReadResult.DATA && readableBytes() > 0; n++) {
+            long quantumEnd = readBytes + CLIENT_READ_QUANTUM_BYTES;
+            while (result == ReadResult.DATA && readableBytes() > 0 && readBytes < quantumEnd) {
                 result = read(buffer, readableBytes());
-                readBytes += result == ReadResult.DATA ? buffer.limit() : LEAST_VISIT_COST_BYTES;
+                readBytes += LEAST_VISIT_COST_BYTES + (result == ReadResult.DATA ? buffer.limit() : 0);
                 refuseExcessCommands();
             }
             hasUnreadInput = result == ReadResult.DATA;
@@ -1001,11 +996,11 @@
             }
             return isHalfClosed || isClosing
                     ? BUFFER_BYTES
-                    : inputBudget.readableBytes(unparsedBytes, clients.size(), !protocol.hasCompleteCommand());
+                    : account.readableBytes(clients.size(), !protocol.hasCompleteCommand());
         }
 
         private boolean hasInputRoom() {
-            return inputBudget.hasRoom(unparsedBytes, clients.size());
+            return account.hasInputRoom(clients.size());
         }
 
         /** Whether there is more input, and room for it, that has to be read before further commands may begin. */
@@ -1015,7 +1010,7 @@
 
         /** Whether all that is kept is a part of one message, which can be handled only once the rest has come. */
         private boolean keepsIncompleteMessage() {
-            return unparsedBytes > 0 && !protocol.hasCompleteCommand();
+            return account.unparsedBytes() > 0 && !protocol.hasCompleteCommand();
         }
 
         /** Refuses commands that wait behind unanswered ones, the first of them first, if too much input is kept. */
@@ -1027,7 +1022,7 @@
             protocol.refuseCommands(inputBudget.clientLimit(clients.size()));
             updateByteCounts();
             if (protocol.unansweredCount() > WAITING_REPLY_LIMIT
-                    || !unreadAnswers.hasRoom(unreadBytes, 0, clients.size())) {
+                    || !unreadAnswers.hasRoom(account.unreadBytes(), 0, clients.size())) {
                 protocol.reject("too many commands at once");
                 updateByteCounts();
             }
@@ -1053,7 +1048,7 @@
                 scheduleCommands();
                 return;
             }
-            turnAccount.beginTurn(turn);
+            turn().beginTurn(turn);
             if (isOpen() && !hasFailed() && !isHalfClosed && !isClosing && readsItsAnswers()) {
                 long commandsBefore = protocol.commandCount();
                 protocol.readCommands();
@@ -1074,7 +1069,7 @@
 
         private boolean hasRoomFor(long slot, Answer.Served served) {
             // An answer that is next in order releases the answers held back behind it, so those don't count.
-            long unreadBefore = protocol.isNext(slot) ? queuedBytes() : unreadBytes;
+            long unreadBefore = protocol.isNext(slot) ? queuedBytes() : account.unreadBytes();
             return unreadAnswers.hasRoom(unreadBefore, served.value().length, clients.size());
         }
 
@@ -1099,12 +1094,8 @@
         }
 
         private void updateByteCounts() {
-            inputBudget.add(protocol.inputBufferBytes() - inputBufferBytes);
-            inputBufferBytes = protocol.inputBufferBytes();
-            unparsedBytes = protocol.unparsedBytes();
-            long currentUnreadBytes = isOpen() ? queuedBytes() + protocol.heldBackBytes() : 0;
-            unreadAnswers.add(currentUnreadBytes - unreadBytes);
-            unreadBytes = currentUnreadBytes;
+            long unreadBytes = isOpen() ? queuedBytes() + protocol.heldBackBytes() : 0;
+            account.update(protocol.unparsedBytes(), protocol.inputBufferBytes(), unreadBytes);
         }
 
         /** Whether the client reads its answers fast enough for more of its commands to be read. */
@@ -1135,7 +1126,7 @@
             updateReadInterest();
             if (isClosing) {
                 halfClose();
-            } else if (unparsedBytes > 0) {
+            } else if (account.unparsedBytes() > 0) {
                 scheduleCommands(); // commands may have waited for the client to read its answers
             }
         }
@@ -1209,11 +1200,7 @@
             clients.remove(id);
             clientsByCancelKey.remove(cancelKey);
             shareDescriptors();
-            inputBudget.add(-inputBufferBytes);
-            inputBufferBytes = 0;
-            unparsedBytes = 0;
-            unreadAnswers.add(-unreadBytes);
-            unreadBytes = 0;
+            account.close();
             if (lingerTimeout != null) {
                 lingerTimeout.cancel();
             }
