Leave the process its time to end after a flood, and log when a shutdown begins

At the very end, refusing what was read took up to 50 ms of the 100 ms that are kept for the end of the process. Change: 10 ms; one line tells when a shutdown begins, with clients, open requests and times.

--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -76,8 +76,8 @@
     /** How long clients may take to read the last answers and close; 0.1 s remains before SIGKILL after that. */
     private static final long LAST_READ_NANOS = 100 * NANOS_PER_MILLI;
 
-    /** For how long commands that were read are still refused at the very end, the clients in turns. */
-    private static final long LAST_WORK_NANOS = 50 * NANOS_PER_MILLI;
+    /** For how long commands that were read are still refused at the very end; the process has 0.1 s to end. */
+    private static final long LAST_WORK_NANOS = 10 * NANOS_PER_MILLI;
 
     /** Consecutive checks that must find nothing before the listener or an idle client is closed. */
     private static final int EMPTY_CHECK_COUNT = 5;
@@ -646,6 +646,12 @@
             // Clients are still served for a while: closing all connections now would send every client to the other
             // routers at once.
             long shutdownNanos = Math.min(STOP_DEADLINE_LIMIT_NANOS, longestGiveUpNanos) + STOP_SLACK_NANOS;
+            LOG.info(
+                    "shutdown: {} clients, {} requests open, serving for {} ms and ending within {} ms",
+                    clients.size(),
+                    reducer.unansweredCount(),
+                    (long) (shutdownNanos * SERVING_SHARE) / NANOS_PER_MILLI,
+                    (shutdownNanos + LAST_READ_NANOS) / NANOS_PER_MILLI);
             deadlines.schedule(now() + ACCEPT_DURING_STOP_NANOS, () -> mayStopWhenIdle = true);
             deadlines.schedule(now() + (long) (shutdownNanos * SERVING_SHARE), () -> stopPhase = StopPhase.DRAINING);
             deadlines.schedule(now() + shutdownNanos, () -> {
