--- a/lab/src/main/java/stoatrill/lab/cli/FloodCommand.java
+++ b/lab/src/main/java/stoatrill/lab/cli/FloodCommand.java
@@ -51,6 +51,7 @@
             FloodSoak.Result result = FloodSoak.play(s, (long) (seconds * NANOS_PER_SECOND), dir);
             print.println(line(result));
             print(print, "lost", result.lost());
+            print(print, "lost after the restart", result.lostAfterRestart());
             print(print, "ran twice", result.ranTwice());
             print(print, "logged", result.troubles());
             print.flush();
