Bound the log lines on servers and decisions in ten seconds

Cause: each change of the list and each start of a server was a line, so that a discovery that answers without pause flooded the log: 83,644 lines in ten seconds with 1,700 servers started anew in each answer (trial). Change: 4,096 lines in ten seconds, which lets each of 3,200 servers change once; the rest is counted in the report of limits, which is now scheduled before it is written. Constants of LongHashSet show their kind.

--- a/router/src/main/java/stoatrill/core/LongHashSet.java
+++ b/router/src/main/java/stoatrill/core/LongHashSet.java
@@ -2,17 +2,17 @@
 
 /** A set of 64-bit hashes by open addressing, 16 to 32 bytes an element. Not thread-safe. */
 final class LongHashSet {
-    private static final int FIRST_CAPACITY = 64;
+    private static final int FIRST_CAPACITY_COUNT = 64;
     /** Marks a free slot; an element of this value is kept apart. */
-    private static final long FREE = 0;
+    private static final long FREE_SLOT_CODE = 0;
 
-    private long[] slots = new long[FIRST_CAPACITY];
+    private long[] slots = new long[FIRST_CAPACITY_COUNT];
     private int usedSlotCount;
     private boolean containsFreeMark;
 
     /** Adds an element; returns whether it was absent. */
     boolean add(long element) {
-        if (element == FREE) {
+        if (element == FREE_SLOT_CODE) {
             boolean isNew = !containsFreeMark;
             containsFreeMark = true;
             return isNew;
@@ -30,7 +30,7 @@
     }
 
     boolean contains(long element) {
-        return element == FREE ? containsFreeMark : slots[findSlot(slots, element)] == element;
+        return element == FREE_SLOT_CODE ? containsFreeMark : slots[findSlot(slots, element)] == element;
     }
 
     int size() {
@@ -40,7 +40,7 @@
     private void grow() {
         long[] larger = new long[2 * slots.length];
         for (long element : slots) {
-            if (element != FREE) {
+            if (element != FREE_SLOT_CODE) {
                 larger[findSlot(larger, element)] = element;
             }
         }
@@ -51,7 +51,7 @@
     private static int findSlot(long[] slots, long element) {
         int mask = slots.length - 1;
         int index = (int) (element & mask);
-        while (slots[index] != FREE && slots[index] != element) {
+        while (slots[index] != FREE_SLOT_CODE && slots[index] != element) {
             index = (index + 1) & mask;
         }
         return index;
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -124,6 +124,9 @@
     /** Lines of one kind in an interval of the limits' report, which counts all events. */
     private static final int LOG_LINE_LIMIT_COUNT = 10;
 
+    /** Lines on servers and decisions in such an interval: each of 3,200 servers may change once. */
+    private static final int STATE_LINE_LIMIT_COUNT = 4096;
+
     private static final long LIMIT_REPORT_INTERVAL_NANOS = 10_000 * NANOS_PER_MILLI;
     private static final long COUNTS_INTERVAL_NANOS = 1_000 * NANOS_PER_MILLI;
     /** How long a router with pushed lists waits for its agent, which answers at once, before it serves clients. */
@@ -182,6 +185,7 @@
     private long nextClientId;
     private final LimitReport limitReport = new LimitReport();
     private final LogThrottle failureLines = new LogThrottle(LOG_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
+    private final LogThrottle stateLines = new LogThrottle(STATE_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
     private final LogThrottle shortageLines = new LogThrottle(LOG_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
     private final InputBudget inputBudget = new InputBudget();
     private final UnreadAnswers unreadAnswers = new UnreadAnswers();
@@ -285,13 +289,13 @@
 
     /** Logs one line an interval if clients met a limit, however often they did. */
     private void logLimits() {
+        deadlines.schedule(now() + LIMIT_REPORT_INTERVAL_NANOS, this::logLimits);
         clients.values().forEach(client -> limitReport.offer(client.takeCost()));
         String line = limitReport.takeLine();
         if (line != null) {
             LOG.info(
                     "limits met by clients in the last {} s: {}", LIMIT_REPORT_INTERVAL_NANOS / NANOS_PER_SECOND, line);
         }
-        deadlines.schedule(now() + LIMIT_REPORT_INTERVAL_NANOS, this::logLimits);
     }
 
     private void logCounts() {
@@ -1478,7 +1482,11 @@
 
     @Override
     public void log(String line) {
-        LOG.info(line);
+        if (stateLines.permits(System.nanoTime())) {
+            LOG.info(line);
+        } else {
+            count("log", "line left out");
+        }
     }
 
     @Override
--- a/router/src/main/java/stoatrill/net/LimitReport.java
+++ b/router/src/main/java/stoatrill/net/LimitReport.java
@@ -11,7 +11,7 @@
 final class LimitReport {
     /** What is reported: closed connections, refused or repeated requests, errors, turns that were too short. */
     private static final Set<String> SUBJECTS =
-            Set.of("closed", "refused", "repeated", "error", "turn", "not sent", "event", "accept", "open");
+            Set.of("closed", "refused", "repeated", "error", "turn", "not sent", "event", "accept", "open", "log");
 
     /** Ends of connections that say nothing of a limit. */
     private static final Set<String> USUAL_CAUSES = Set.of("peer ended");
