--- a/router/src/test/java/stoatrill/ServeScenarioTest.java
+++ b/router/src/test/java/stoatrill/ServeScenarioTest.java
@@ -363,6 +363,7 @@
         c close
         d close
         many send leave
+        shutdown expect shutdown
         router expect stopped; invariants broken: {}
         """);
     }
@@ -449,6 +450,7 @@
         idle expect end
         c expect error 58000
         u expect error 58000
+        shutdown expect shutdown
         router expect stopped; invariants broken: {}
         """);
     }
@@ -470,6 +472,7 @@
         c expect 64 errors 58000
         c expect 26 errors 53300
         router expect configuration read anew; discovery moves
+        shutdown expect shutdown
         router expect stopped; invariants broken: {}
         c expect end
         """);
@@ -500,6 +503,7 @@
         c expect end
         c close
         router expect configuration read anew; discovery moves
+        shutdown expect shutdown
         router expect stopped; invariants broken: {}
         """);
     }
