--- a/router/src/main/java/stoatrill/io/Connection.java
+++ b/router/src/main/java/stoatrill/io/Connection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.SelectionKey;
@@ -26,6 +27,8 @@
     private final SelectionKey key;
     private final RetryWindow readRetries = new RetryWindow();
     private final RetryWindow writeRetries = new RetryWindow();
+    /** Null for a connection that is still to be made. */
+    private final SocketAddress peer;
     /** The interest set of the owner; that of the key is larger while the registration is unconfirmed. */
     private int wantedInterest;
     /** Whether no event has shown yet that the system has the registration. */
@@ -39,6 +42,7 @@
         this.calls = calls;
         this.poller = poller;
         this.channel = channel;
+        this.peer = remoteAddress(channel);
         this.wantedInterest = interest;
         this.key = poller.register(channel, interest, owner);
         if (includesRead(interest)) {
@@ -46,6 +50,14 @@
         }
     }
 
+    private static SocketAddress remoteAddress(SocketChannel channel) {
+        try {
+            return channel.getRemoteAddress();
+        } catch (IOException e) {
+            return null; // closed already, which the first read shows
+        }
+    }
+
     /** Begins to connect; an interrupted call continues, and the selector reports its end. */
     void connect(InetSocketAddress address) throws IOException {
         connectedImmediately = calls.connect(channel, address);
@@ -56,9 +68,9 @@
         return connectedImmediately;
     }
 
-    /** The peer's address and port, for logs; takes no system call. */
+    /** The peer's address and port, for logs; takes no system call and no file, also once the connection is closed. */
     public String peerAddress() {
-        return String.valueOf(channel.socket().getRemoteSocketAddress());
+        return String.valueOf(peer);
     }
 
     /** A call on the socket, which returns a count or throws. */
