Review: a client that reads steadily for seconds is cut off

Cause: the review looked for connections that the router ends under a request. Change: case 8. A client sends 128 reads of 64 KiB at once and takes 7 s to read the answers.

--- a/review/src-2/Cases.java
+++ b/review/src-2/Cases.java
@@ -161,6 +161,7 @@
         return switch (number) {
             case "6" -> new SurplusAnswer();
             case "7" -> new HeldUploads();
+            case "8" -> new SlowReader();
             default -> throw new IllegalArgumentException("no case " + number);
         };
     }
