--- a/review/src-2/SurplusAnswer.java
+++ b/review/src-2/SurplusAnswer.java
@@ -6,17 +6,25 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Servers that send a second copy right behind an answer, as a write of its own and without TCP_NODELAY. */
+/**
+ * Servers that send a second copy right behind an answer, as a write of its own and without TCP_NODELAY. Judged are the
+ * uploads alone: whether one is told to be stored before it has run, or with the value of another request.
+ */
 final class SurplusAnswer implements Cases.Case {
     private static final int SECONDS = 20;
     private static final int CLIENTS = 12;
+    private static final int UPLOAD_PERCENT = 10;
 
     private final AtomicInteger copies = new AtomicInteger();
     private final AtomicInteger answers = new AtomicInteger();
     private final ConcurrentHashMap<String, String> ran = new ConcurrentHashMap<>();
-    private final AtomicInteger[] counts = {
-        new AtomicInteger(), new AtomicInteger(), new AtomicInteger(), new AtomicInteger(), new AtomicInteger()
-    };
+    private final AtomicInteger uploads = new AtomicInteger();
+    private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger refused = new AtomicInteger();
+    private final AtomicInteger failed = new AtomicInteger();
+    private final AtomicInteger wrongUploads = new AtomicInteger();
+    private final AtomicInteger wrongReads = new AtomicInteger();
+    private final AtomicInteger early = new AtomicInteger();
 
     @Override
     public boolean run(Cases.Setting setting) throws Exception {
@@ -46,16 +54,18 @@
             }
         }
         record.say(
-                "answers %d, of them with a copy behind %d; clients: served %d, refused %d, failed %d,"
-                        + " FOREIGN values %d, served writes that never ran %d",
+                "answers %d, of them with a copy behind %d; requests served %d, refused %d, failed %d; uploads run %d, told"
+                        + " to be stored BEFORE they ran %d, served with ANOTHER value %d (not judged: %d such reads)",
                 answers.get(),
                 copies.get(),
-                counts[0].get(),
-                counts[1].get(),
-                counts[2].get(),
-                counts[3].get(),
-                counts[4].get());
-        return counts[3].get() + counts[4].get() == 0;
+                served.get(),
+                refused.get(),
+                failed.get(),
+                uploads.get(),
+                early.get(),
+                wrongUploads.get(),
+                wrongReads.get());
+        return early.get() + wrongUploads.get() == 0;
     }
 
     private void work(Cases.Setting setting, Node node, Node.Query query) throws IOException, InterruptedException {
@@ -65,6 +75,7 @@
                 query.out.write(Wire.join(Wire.error("25006", "not the primary"), node.notes()));
                 return;
             }
+            uploads.incrementAndGet();
             ran.put(query.id(), node.uid);
         }
         byte[] answer = node.served(query, ("value of " + query.id()).getBytes(StandardCharsets.US_ASCII));
@@ -81,7 +92,7 @@
         Client client = new Client(router.connect());
         for (int n = 0; System.nanoTime() < until; n++) {
             String id = String.format("c%02dn%06d", number, n);
-            boolean isWrite = random.nextInt(10) == 0;
+            boolean isWrite = random.nextInt(100) < UPLOAD_PERCENT;
             String text = isWrite
                     ? "INSERT INTO records (k, v) VALUES ('" + id + "', '\\x9f03') RETURNING v /* id=" + id
                             + ",c=reading-upload,d=3000,cluster=0 */"
@@ -97,18 +108,18 @@
                 continue;
             }
             if (answer.isServed()) {
-                counts[0].incrementAndGet();
+                served.incrementAndGet();
                 String value = new String(answer.value, StandardCharsets.US_ASCII);
                 if (!value.equals("value of " + id)) {
-                    counts[3].incrementAndGet();
-                    record.line("FOREIGN: %s was served \"%s\"", id, value);
+                    (isWrite ? wrongUploads : wrongReads).incrementAndGet();
+                    record.line((isWrite ? "UPLOAD " : "read ") + "%s was served \"%s\"", id, value);
                 }
                 if (isWrite && !ran.containsKey(id)) {
-                    counts[4].incrementAndGet();
-                    record.line("LOST: the write %s was served before it ran", id);
+                    early.incrementAndGet();
+                    record.line("UPLOAD %s was told to be stored before it ran", id);
                 }
             } else {
-                counts[answer.isRefused() ? 1 : 2].incrementAndGet();
+                (answer.isRefused() ? refused : failed).incrementAndGet();
                 record.line("%s: %s", id, answer);
             }
             Thread.sleep(random.nextInt(20));
