--- a/review/src-2/SlowReader.java
+++ b/review/src-2/SlowReader.java
@@ -11,8 +11,8 @@
 final class SlowReader implements Cases.Case {
     private static final int REQUESTS = 128;
     private static final int VALUE_BYTES = 64 * 1024;
-    private static final long WAIT_MILLIS = 8000;
-    private static final long READING_MILLIS = 7000;
+    private static final long WAIT_MILLIS = 11_000;
+    private static final long READING_MILLIS = 10_000;
 
     @Override
     public boolean run(Cases.Setting setting) throws Exception {
@@ -81,7 +81,7 @@
     }
 
     /** Reads in small pieces and no faster than a given rate. */
-    private static final class Paced extends InputStream {
+    static final class Paced extends InputStream {
         private static final int PIECE_BYTES = 8 * 1024;
         private final InputStream source;
         private final long bytesPerSecond;
