--- a/review/src-2/Cases.java
+++ b/review/src-2/Cases.java
@@ -162,6 +162,7 @@
             case "6" -> new SurplusAnswer();
             case "7" -> new HeldUploads();
             case "8" -> new SlowReader();
+            case "9" -> new CrowdedReader();
             default -> throw new IllegalArgumentException("no case " + number);
         };
     }
