Count and log servers' data that belongs to no query

Nothing showed when a server had sent more than its answer: data behind an answer, data on an idle connection and a connection that is not quiet when it is reused all ended as an ordinary loss.

--- a/router/src/main/java/stoatrill/core/DisconnectCause.java
+++ b/router/src/main/java/stoatrill/core/DisconnectCause.java
@@ -7,5 +7,7 @@
     /** The server refused it because it has too many connections. */
     FULL,
     /** The server sent data that can't be parsed. */
-    SPOILT
+    SPOILT,
+    /** The server sent data although no query was outstanding. */
+    SURPLUS
 }
--- a/router/src/main/java/stoatrill/core/ServerPool.java
+++ b/router/src/main/java/stoatrill/core/ServerPool.java
@@ -159,6 +159,7 @@
                     candidate.timeout.cancel();
                     return candidate;
                 }
+                effects.count("ended", "not quiet when reused");
                 closeConnection(candidate);
             }
         }
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -47,6 +47,7 @@
  */
 public final class EventLoop implements Effects, DiscoveryClient.Environment {
     private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
+    private static final long NANOS_PER_MICRO = 1_000L;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long NANOS_PER_SECOND = 1_000 * NANOS_PER_MILLI;
     private static final int BUFFER_BYTES = 64 * 1024;
@@ -186,6 +187,7 @@
     private final LimitReport limitReport = new LimitReport();
     private final LogThrottle failureLines = new LogThrottle(LOG_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
     private final LogThrottle stateLines = new LogThrottle(STATE_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
+    private final LogThrottle surplusLines = new LogThrottle(LOG_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
     private final LogThrottle shortageLines = new LogThrottle(LOG_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
     private final InputBudget inputBudget = new InputBudget();
     private final UnreadAnswers unreadAnswers = new UnreadAnswers();
@@ -1230,12 +1232,16 @@
 
     private final class ServerLink extends Link implements ServerProtocol.Environment {
         private final long id;
+        private final InetSocketAddress endpoint;
         private final ServerProtocol protocol;
         private boolean isAwaitingAnswer;
+        /** When the last answer was complete. */
+        private long answeredAt;
 
-        ServerLink(long id) {
+        ServerLink(long id, InetSocketAddress endpoint) {
             super(EventLoop.this);
             this.id = id;
+            this.endpoint = endpoint;
             this.protocol = serverProtocolFactory.apply(this);
         }
 
@@ -1290,21 +1296,40 @@
         @Override
         public void onAnswer(ServerAnswer answer, boolean reusable) {
             isAwaitingAnswer = false;
+            answeredAt = now();
+            if (!reusable && isOpen()) {
+                recordSurplusData("behind an answer");
+            }
             reducer.onServerAnswer(now(), id, answer, reusable);
         }
 
         @Override
         public void onBroken(DisconnectCause kind) {
+            if (kind == DisconnectCause.SURPLUS) {
+                recordSurplusData("on an idle connection");
+            }
             if (servers.remove(id) != null) {
                 closeSocket();
             }
             reducer.onServerConnectionLost(now(), id, kind);
         }
+
+        /** Counts data that belongs to no query, and logs it; most of a flood of it is only counted. */
+        private void recordSurplusData(String circumstance) {
+            count("surplus", circumstance);
+            if (surplusLines.permits(System.nanoTime())) {
+                LOG.info(
+                        "server {} sent surplus data {}, {} us after its last answer was complete",
+                        endpoint,
+                        circumstance,
+                        (now() - answeredAt) / NANOS_PER_MICRO);
+            }
+        }
     }
 
     @Override
     public void openConnection(long connectionId, InetSocketAddress endpoint) {
-        ServerLink link = new ServerLink(connectionId);
+        ServerLink link = new ServerLink(connectionId, endpoint);
         CallResult<Connection> opened = poller.connect(endpoint, link);
         switch (opened.outcome()) {
             case PROGRESS -> {
--- a/router/src/main/java/stoatrill/net/LimitReport.java
+++ b/router/src/main/java/stoatrill/net/LimitReport.java
@@ -9,9 +9,12 @@
  * clients send. Not thread-safe.
  */
 final class LimitReport {
-    /** What is reported: closed connections, refused or repeated requests, errors, turns that were too short. */
-    private static final Set<String> SUBJECTS =
-            Set.of("closed", "refused", "repeated", "error", "turn", "not sent", "event", "accept", "open", "log");
+    /**
+     * What is reported: closed connections, refused or repeated requests, errors, turns that were too short, servers'
+     * data that belongs to no query.
+     */
+    private static final Set<String> SUBJECTS = Set.of(
+            "closed", "refused", "repeated", "error", "turn", "not sent", "event", "accept", "open", "log", "surplus");
 
     /** Ends of connections that say nothing of a limit. */
     private static final Set<String> USUAL_CAUSES = Set.of("peer ended");
--- a/router/src/main/java/stoatrill/pg/PgServer.java
+++ b/router/src/main/java/stoatrill/pg/PgServer.java
@@ -81,7 +81,7 @@
     public void receive(ByteBuffer bytes) {
         if (phase == Phase.IDLE) {
             bytes.position(bytes.limit());
-            reportBroken(DisconnectCause.ENDED); // no query is outstanding: the bytes would be read as the next answer
+            reportBroken(DisconnectCause.SURPLUS); // the bytes would be read as the next answer
             return;
         }
         input.append(bytes);
