Synchronize a server's connection by an empty query before it is used again

A copy of a refusal made a write run twice, a copy of a load report would have moved positions and roles of the wrong time.

Cause: a connection counted as free 2 ms after its answer (at once for reads), if nothing had arrived by then. The server's system holds surplus data back until the router's system acknowledges the answer, up to 40 ms later or with the next query. No time tells that nothing more comes; whatever came first was taken for the answer to the next query.

Evidence: the log of surplus data shows it 40.2 to 45.6 ms after the answer.

Change: after an answer the router sends an empty query, and the connection is free when EmptyQueryResponse and ReadyForQuery have come with nothing before or behind them. As the answers of a connection come in order, that is evidence and no wait. Anything else ends the connection. Attempts wait for a synchronization that is under way for as long as the last connection to the server took to open, then get a new one; one that is not answered within the connect timeout is closed, and the server is not judged by it. Connections to servers that leave, or during the shutdown, are closed instead.

The scripted servers of the other tests answer the empty query now, as the protocol asks of servers. sendsAnUploadOnlyOnASettledConnection named the 2 ms; in its place sendsNothingOnAConnectionBeforeItIsSynchronized holds reads and uploads to the reply, however late, and four more tests say what waits, opens or closes.

--- a/lab/src/main/java/stoatrill/lab/scale/faketime/ModelRouter.java
+++ b/lab/src/main/java/stoatrill/lab/scale/faketime/ModelRouter.java
@@ -238,6 +238,9 @@
     @Override
     public void sendQuery(long id, Statement statement, long waitMillis) {}
 
+    @Override
+    public void synchronize(long id) {}
+
     @Override
     public boolean hasNoUnreadData(long id) {
         return true;
--- a/lab/src/main/java/stoatrill/lab/scale/faketime/ProbeBytes.java
+++ b/lab/src/main/java/stoatrill/lab/scale/faketime/ProbeBytes.java
@@ -46,6 +46,9 @@
             accepted = reusable && answer.report() != null;
         }
 
+        @Override
+        public void onSynchronized() {}
+
         @Override
         public void onBroken(DisconnectCause how) {}
     }
--- a/lab/src/main/java/stoatrill/lab/scale/footprint/PgFrames.java
+++ b/lab/src/main/java/stoatrill/lab/scale/footprint/PgFrames.java
@@ -54,6 +54,11 @@
         return join(message('T', description), message('D', data), message('C', ascii(tag + "\0")));
     }
 
+    /** What a server answers an empty query, before it is ready again. */
+    static byte[] emptyQueryResponse() {
+        return message('I', new byte[0]);
+    }
+
     /** A parameter's value, as a server reports it. */
     static byte[] parameter(String name, String value) {
         return message('S', ascii(name + "\0" + value + "\0"));
--- a/lab/src/main/java/stoatrill/lab/scale/footprint/ServerFarm.java
+++ b/lab/src/main/java/stoatrill/lab/scale/footprint/ServerFarm.java
@@ -135,6 +135,7 @@
 
     private void count(ServerSession.Event event, ServerSession session) {
         switch (event) {
+            case SYNCHRONIZATION -> {}
             case PROBE -> probes.incrementAndGet();
             case STATEMENT -> {
                 statements.incrementAndGet();
--- a/lab/src/main/java/stoatrill/lab/scale/footprint/ServerSession.java
+++ b/lab/src/main/java/stoatrill/lab/scale/footprint/ServerSession.java
@@ -14,8 +14,10 @@
     private final boolean primary;
     private final FrameReader in = new FrameReader(false);
 
-    /** What a router asked that is counted. */
+    /** What a router asked. */
     enum Event {
+        /** Whether the connection is in step; answered already. */
+        SYNCHRONIZATION,
         /** Answered already. */
         PROBE,
         /** Still to be answered by {@link #answer}. */
@@ -51,6 +53,10 @@
     }
 
     private Event query(String sql) throws IOException {
+        if (sql.isEmpty()) {
+            write(PgFrames.join(PgFrames.emptyQueryResponse(), PgFrames.ready()));
+            return Event.SYNCHRONIZATION;
+        }
         if (sql.regionMatches(true, 0, "SHOW USAGE", 0, "SHOW USAGE".length())) {
             write(PgFrames.join(PgFrames.row(report(), "SHOW"), PgFrames.ready()));
             return Event.PROBE;
--- a/lab/src/main/java/stoatrill/lab/scale/hollow/HollowRouter.java
+++ b/lab/src/main/java/stoatrill/lab/scale/hollow/HollowRouter.java
@@ -162,6 +162,11 @@
         later.add(() -> reducer.onQueryWritten(connection));
     }
 
+    @Override
+    public void synchronize(long connection) {
+        servers.synchronize(connection);
+    }
+
     @Override
     public boolean hasNoUnreadData(long connection) {
         return servers.up(connection);
--- a/lab/src/main/java/stoatrill/lab/scale/hollow/ModelServers.java
+++ b/lab/src/main/java/stoatrill/lab/scale/hollow/ModelServers.java
@@ -18,6 +18,9 @@
     private static final long MILLI = 1_000_000L;
     private static final long CONNECT = 2 * MILLI;
     private static final long ANSWER = 3 * MILLI;
+    /** A round trip, which is half of what it takes to connect. */
+    private static final long SYNCHRONIZATION = CONNECT / 2;
+
     private static final long AGE_MILLIS = 5;
     private static final byte[] VALUE = {1};
 
@@ -52,6 +55,14 @@
         });
     }
 
+    void synchronize(long connection) {
+        deadlines.schedule(now.getAsLong() + SYNCHRONIZATION, () -> {
+            if (connections.contains(connection)) {
+                reducer.onServerSynchronized(now.getAsLong(), connection);
+            }
+        });
+    }
+
     private static ServerAnswer answer() {
         long position = System.currentTimeMillis() - AGE_MILLIS;
         Map<String, Double> report = Map.of("x0", position / 1e3, "q", 0.0);
--- a/lab/src/main/java/stoatrill/lab/world/SimRouter.java
+++ b/lab/src/main/java/stoatrill/lab/world/SimRouter.java
@@ -381,6 +381,21 @@
         return true;
     }
 
+    @Override
+    public void synchronize(long connection) {
+        Conn c = conns.get(connection);
+        long trip = c == null ? Long.MAX_VALUE : world.trip(zone, c.node);
+        if (trip == Long.MAX_VALUE || c.node.state() == Node.State.HUNG) {
+            return; // it is never answered
+        }
+        long mine = life;
+        world.time.at(world.time.now() + 2 * trip, () -> {
+            if (mine == life && !c.closed) {
+                call(() -> reducer.onServerSynchronized(world.time.now(), connection));
+            }
+        });
+    }
+
     @Override
     public boolean hasNoUnreadData(long connection) {
         Conn c = conns.get(connection);
--- a/router/src/main/java/stoatrill/core/Effects.java
+++ b/router/src/main/java/stoatrill/core/Effects.java
@@ -17,6 +17,13 @@
      */
     void sendQuery(long connection, Statement statement, long waitMillis);
 
+    /**
+     * Requests proof that the server has sent nothing beyond its last answer on this connection;
+     * {@link Reducer#onServerSynchronized} or {@link Reducer#onServerConnectionLost} follows, unless the server does
+     * not answer.
+     */
+    void synchronize(long connection);
+
     /** Whether nothing was received on an idle connection; one that received something must not be reused. */
     boolean hasNoUnreadData(long connection);
 
--- a/router/src/main/java/stoatrill/core/Reducer.java
+++ b/router/src/main/java/stoatrill/core/Reducer.java
@@ -364,12 +364,24 @@
             return;
         }
         endAttempt(attempt, answer.result(), answer);
-        if (isReusable) {
+        if (isReusable && isShuttingDown) {
+            serverPool.closeConnection(connection);
+        } else if (isReusable) {
             serverPool.releaseConnection(now, connection);
         }
         runPendingActions();
     }
 
+    /** Handles the proof that a server has sent nothing beyond its last answer: the connection is free again. */
+    public void onServerSynchronized(long eventTime, long connectionId) {
+        now = eventTime;
+        ServerPool.Connection connection = serverPool.get(connectionId);
+        if (connection != null) {
+            serverPool.connectionSynchronized(now, connection);
+            runPendingActions();
+        }
+    }
+
     /** Handles the end of a connection to a server, or unreadable data on it. */
     public void onServerConnectionLost(long eventTime, long connectionId, DisconnectCause cause) {
         now = eventTime;
@@ -582,7 +594,7 @@
 
     @Override
     public void closeIdleConnections(long serverId) {
-        pendingActions.add(() -> serverPool.closeIdleConnections(serverDirectory.findServer(serverId)));
+        pendingActions.add(() -> serverPool.closeIdleConnections(now, serverDirectory.findServer(serverId)));
     }
 
     @Override
--- a/router/src/main/java/stoatrill/core/ServerDirectory.java
+++ b/router/src/main/java/stoatrill/core/ServerDirectory.java
@@ -67,13 +67,13 @@
         logChange(now, server, entry);
         knownGroups.add(entry.group());
         if (!server.endpoint.equals(entry.endpoint())) {
-            pool.closeIdleConnections(server);
             server.endpoint = entry.endpoint();
+            pool.closeIdleConnections(now, server);
         }
         server.isListed = entry.state() != ListedState.GONE;
         setLeaving(now, server, entry.state() == ListedState.DRAINING || (!server.isListed && isRemovalBinding()));
         if (!server.isListed) {
-            pool.closeIdleConnections(server);
+            pool.closeIdleConnections(now, server);
         }
         recordStart(now, server, entry.startedAtMillis());
         return new ListEntry(
--- a/router/src/main/java/stoatrill/core/ServerPool.java
+++ b/router/src/main/java/stoatrill/core/ServerPool.java
@@ -12,6 +12,10 @@
 
 /**
  * The connections to servers. Each carries one attempt at a time, idle ones are reused, and one limit applies to all.
+ *
+ * <p>After an answer a connection is synchronized before it is used again: a server may have sent more than the answer,
+ * and no time after which that has certainly arrived is known to the router. The answers of a connection come in order,
+ * so the reply to a request that follows the answer is the evidence.
  */
 final class ServerPool {
 
@@ -40,6 +44,12 @@
         private final Set<Attempt> waitingAttempts = new LinkedHashSet<>();
         private final ArrayDeque<Connection> idleConnections = new ArrayDeque<>();
         private int connectingCount;
+        private final Set<Connection> synchronizingConnections = new LinkedHashSet<>();
+        /** Those of them that are expected to be free before a new one would be. */
+        private int synchronizingInTimeCount;
+        /** How long the last connection that was opened took, in nanoseconds. */
+        private long openingNanos;
+
         private int connectionCount;
         /** Whether the server list contains it; no idle connections are kept to a server that is not listed. */
         boolean isListed = true;
@@ -73,18 +83,27 @@
         final long id;
         final Server server;
         Attempt attempt;
-        private boolean isEstablished;
-        private long idleSince;
+        private final long openedAt;
+        private State state = State.OPENING;
         private Deadline timeout;
 
-        private Connection(long id, Server server) {
+        private Connection(long id, Server server, long openedAt) {
             this.id = id;
             this.server = server;
+            this.openedAt = openedAt;
         }
     }
 
-    /** How long after an answer the server's close of the connection, or surplus data, has certainly arrived. */
-    private static final long SETTLE_TIME_NANOS = 2_000_000L;
+    private enum State {
+        OPENING,
+        /** It has an attempt, or is about to get one. */
+        BUSY,
+        /** An answer has come, and the server has been asked to show that nothing follows it. */
+        SYNCHRONIZING,
+        /** As before, but for so long that attempts no longer wait for it. */
+        SYNCHRONIZING_LATE,
+        IDLE
+    }
 
     private final Effects effects;
     private final DeadlineQueue deadlines;
@@ -121,14 +140,13 @@
         return connectionsById.get(id);
     }
 
-    /** Finds a connection for the attempt: an idle one, or one opened for it. */
+    /** Finds a connection for the attempt: an idle one, one that is being synchronized, or one opened for it. */
     void assignConnection(long now, Attempt attempt) {
         Server server = attempt.server;
-        Connection warmConnection =
-                takeWarmConnection(now, server, attempt.request == null || !attempt.request.mustRunOnce());
-        if (warmConnection != null) {
-            if (!owner.writeAttempt(warmConnection, attempt)) {
-                releaseConnection(now, warmConnection);
+        Connection idleConnection = takeIdleConnection(server);
+        if (idleConnection != null) {
+            if (!owner.writeAttempt(idleConnection, attempt)) {
+                rest(now, idleConnection);
             }
             return;
         }
@@ -143,25 +161,19 @@
         openConnections(now, server);
     }
 
-    /**
-     * Takes an idle connection for reuse: the one used last among those that have settled or, if none has settled and
-     * {@code allowUnsettled}, the one that has been idle longest. Closes connections on which data was received. A
-     * server may close the connection or send surplus data right after an answer; that shows once the connection has
-     * settled.
-     */
-    private Connection takeWarmConnection(long now, Server server, boolean allowUnsettled) {
-        for (Connection candidate : List.copyOf(server.idleConnections)) {
-            if ((now - candidate.idleSince >= SETTLE_TIME_NANOS
-                    || (allowUnsettled && candidate == server.idleConnections.peekLast()))) {
-                if (effects.hasNoUnreadData(candidate.id)) {
-                    effects.count("connection", "warm");
-                    server.idleConnections.remove(candidate);
-                    candidate.timeout.cancel();
-                    return candidate;
-                }
-                effects.count("ended", "not quiet when reused");
-                closeConnection(candidate);
+    /** Takes the idle connection that was used last; closes those on which something has been received. */
+    private Connection takeIdleConnection(Server server) {
+        while (!server.idleConnections.isEmpty()) {
+            Connection candidate = server.idleConnections.peekFirst();
+            if (effects.hasNoUnreadData(candidate.id)) {
+                effects.count("connection", "warm");
+                server.idleConnections.removeFirst();
+                candidate.timeout.cancel();
+                candidate.state = State.BUSY;
+                return candidate;
             }
+            effects.count("ended", "not quiet when reused");
+            closeConnection(candidate);
         }
         return null;
     }
@@ -175,12 +187,12 @@
     }
 
     private void openConnections(long now, Server server) {
-        while (server.connectingCount < server.waitingAttempts.size()) {
+        while (server.connectingCount + server.synchronizingInTimeCount < server.waitingAttempts.size()) {
             if (connectionsById.size() >= maxConnections && !closeIdleElsewhere(server)) {
                 serversAwaitingCapacity.add(server);
                 return;
             }
-            Connection connection = new Connection(nextConnectionId++, server);
+            Connection connection = new Connection(nextConnectionId++, server, now);
             connectionsById.put(connection.id, connection);
             server.connectingCount++;
             server.connectionCount++;
@@ -194,16 +206,14 @@
     }
 
     /**
-     * Closes the idle connection that was opened first, other than those to {@code excluded}, so that idle connections
-     * don't use up the limit. Returns whether there was one.
+     * Closes the connection without an attempt that was opened first, so that these don't use up the limit. Excepts the
+     * connections to {@code excluded}, and those that are being synchronized while attempts wait for their server.
+     * Returns whether there was one.
      */
     private boolean closeIdleElsewhere(Server excluded) {
         Connection oldest = null;
         for (Connection candidate : connectionsById.values()) {
-            if (candidate.isEstablished
-                    && candidate.attempt == null
-                    && candidate.server != excluded
-                    && (oldest == null || candidate.id < oldest.id)) {
+            if (isSpare(candidate) && candidate.server != excluded && (oldest == null || candidate.id < oldest.id)) {
                 oldest = candidate;
             }
         }
@@ -214,13 +224,33 @@
         return oldest != null;
     }
 
-    /** Handles a connection that is established. */
+    private static boolean isSpare(Connection connection) {
+        return switch (connection.state) {
+            case OPENING, BUSY -> false;
+            case SYNCHRONIZING, SYNCHRONIZING_LATE -> connection.server.waitingAttempts.isEmpty();
+            case IDLE -> true;
+        };
+    }
+
+    /** Handles a connection that is established; nothing precedes its first answer, so it is free at once. */
     void connectionEstablished(long now, Connection connection) {
         connection.timeout.cancel();
-        connection.isEstablished = true;
         connection.server.connectingCount--;
+        connection.server.openingNanos = now - connection.openedAt;
+        useOrRest(now, connection);
+    }
+
+    /** Handles the server's reply to the request to synchronize the connection, which is free from now on. */
+    void connectionSynchronized(long now, Connection connection) {
+        connection.timeout.cancel();
+        endSynchronization(connection);
+        useOrRest(now, connection);
+    }
+
+    private void useOrRest(long now, Connection connection) {
+        connection.state = State.BUSY;
         if (!serveWaitingAttempt(connection)) {
-            releaseConnection(now, connection);
+            rest(now, connection);
         }
     }
 
@@ -237,25 +267,56 @@
         return false;
     }
 
-    /** Makes a connection idle until its idle timeout. Once it has settled, it serves attempts that wait. */
+    /**
+     * Takes a connection back after an answer. It is synchronized before it is used again, unless its server is leaving:
+     * a connection to that one is closed.
+     */
     void releaseConnection(long now, Connection connection) {
         Server server = connection.server;
         connection.attempt = null;
-        connection.idleSince = now;
-        if (!server.waitingAttempts.isEmpty()) {
-            deadlines.schedule(now + SETTLE_TIME_NANOS, () -> {
-                Connection settled = server.waitingAttempts.isEmpty()
-                        ? null
-                        : takeWarmConnection(now + SETTLE_TIME_NANOS, server, false);
-                if (settled != null && !serveWaitingAttempt(settled)) {
-                    releaseConnection(now + SETTLE_TIME_NANOS, settled);
-                }
-            });
+        if (!server.isListed || server.leavingSince != Server.NOT_LEAVING) {
+            closeConnection(connection);
+            return;
+        }
+        connection.state = State.SYNCHRONIZING;
+        server.synchronizingConnections.add(connection);
+        server.synchronizingInTimeCount++;
+        long lateAt = now + Math.min(server.openingNanos, limits.connectTimeout());
+        connection.timeout = deadlines.schedule(lateAt, () -> synchronizationLate(lateAt, now, connection));
+        effects.synchronize(connection.id);
+    }
+
+    /**
+     * Attempts that waited for the synchronization get new connections: waiting has cost as much as opening one takes,
+     * and the server may never reply. The connection itself is closed later.
+     */
+    private void synchronizationLate(long now, long startedAt, Connection connection) {
+        effects.count("synchronization", "late");
+        connection.server.synchronizingInTimeCount--;
+        connection.state = State.SYNCHRONIZING_LATE;
+        connection.timeout = deadlines.schedule(startedAt + limits.connectTimeout(), () -> {
+            effects.count("synchronization", "timeout");
+            closeConnection(connection);
+        });
+        openConnections(now, connection.server);
+    }
+
+    private static void endSynchronization(Connection connection) {
+        boolean wasSynchronizing = connection.server.synchronizingConnections.remove(connection);
+        if (wasSynchronizing && connection.state == State.SYNCHRONIZING) {
+            connection.server.synchronizingInTimeCount--;
         }
+    }
+
+    /** Makes a free connection idle until its idle timeout. */
+    private void rest(long now, Connection connection) {
+        Server server = connection.server;
+        connection.attempt = null;
         if (!server.isListed) {
             closeConnection(connection);
             return;
         }
+        connection.state = State.IDLE;
         server.idleConnections.addFirst(connection);
         connection.timeout = deadlines.schedule(now + limits.idleTimeout(), () -> closeConnection(connection));
     }
@@ -269,6 +330,7 @@
     private void removeConnection(Connection connection) {
         if (connectionsById.remove(connection.id) != null) {
             connection.server.connectionCount--;
+            endSynchronization(connection);
         }
         connection.server.idleConnections.remove(connection);
         connection.timeout.cancel();
@@ -278,16 +340,27 @@
     void connectionLost(long now, Connection connection, boolean isServerFull) {
         removeConnection(connection);
         Server server = connection.server;
-        String openingCause = isServerFull ? "refused as full" : "connecting";
-        effects.count(
-                "ended", !connection.isEstablished ? openingCause : connection.attempt == null ? "resting" : "at work");
-        if (!connection.isEstablished) {
-            server.connectingCount--;
-            if (!server.waitingAttempts.isEmpty() && server.waitingAttempts.size() > server.connectingCount) {
-                Attempt longestWaiting = server.waitingAttempts.iterator().next();
-                stopWaiting(longestWaiting);
-                owner.connectionFailed(longestWaiting, isServerFull);
+        switch (connection.state) {
+            case OPENING -> {
+                effects.count("ended", isServerFull ? "refused as full" : "connecting");
+                server.connectingCount--;
+                failLongestWaiting(server, isServerFull);
+            }
+            case BUSY -> effects.count("ended", "at work");
+            case SYNCHRONIZING, SYNCHRONIZING_LATE -> {
+                effects.count("ended", "synchronizing");
+                openConnections(now, server);
             }
+            case IDLE -> effects.count("ended", "resting");
+        }
+    }
+
+    /** Fails the attempt that has waited longest if no connection is left for it. */
+    private void failLongestWaiting(Server server, boolean isServerFull) {
+        if (server.waitingAttempts.size() > server.connectingCount + server.synchronizingInTimeCount) {
+            Attempt longestWaiting = server.waitingAttempts.iterator().next();
+            stopWaiting(longestWaiting);
+            owner.connectionFailed(longestWaiting, isServerFull);
         }
     }
 
@@ -300,9 +373,12 @@
         }
     }
 
-    void closeIdleConnections(Server server) {
+    /** Closes the connections to a server that have no attempt; attempts that wait get new ones. */
+    void closeIdleConnections(long now, Server server) {
         while (!server.idleConnections.isEmpty()) {
             closeConnection(server.idleConnections.peekFirst());
         }
+        List.copyOf(server.synchronizingConnections).forEach(this::closeConnection);
+        openConnections(now, server);
     }
 }
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -1235,6 +1235,7 @@
         private final InetSocketAddress endpoint;
         private final ServerProtocol protocol;
         private boolean isAwaitingAnswer;
+        private boolean isSynchronizing;
         /** When the last answer was complete. */
         private long answeredAt;
 
@@ -1303,10 +1304,21 @@
             reducer.onServerAnswer(now(), id, answer, reusable);
         }
 
+        void synchronize() {
+            isSynchronizing = true;
+            writeInTurn(protocol.encodeSynchronization()); // behind the client's answer, which is queued already
+        }
+
+        @Override
+        public void onSynchronized() {
+            isSynchronizing = false;
+            reducer.onServerSynchronized(now(), id);
+        }
+
         @Override
         public void onBroken(DisconnectCause kind) {
             if (kind == DisconnectCause.SURPLUS) {
-                recordSurplusData("on an idle connection");
+                recordSurplusData(isSynchronizing ? "before synchronization" : "on an idle connection");
             }
             if (servers.remove(id) != null) {
                 closeSocket();
@@ -1397,6 +1409,14 @@
         }
     }
 
+    @Override
+    public void synchronize(long connectionId) {
+        ServerLink link = servers.get(connectionId);
+        if (link != null) {
+            link.synchronize();
+        }
+    }
+
     @Override
     public void closeConnection(long connectionId) {
         unopenedServers.remove(connectionId);
--- a/router/src/main/java/stoatrill/net/ServerProtocol.java
+++ b/router/src/main/java/stoatrill/net/ServerProtocol.java
@@ -19,6 +19,9 @@
         /** The server has answered; {@code reusable} if the connection takes another query. */
         void onAnswer(ServerAnswer answer, boolean reusable);
 
+        /** The synchronization is complete: the server has sent nothing but its answers, and nothing is under way. */
+        void onSynchronized();
+
         /** The connection can no longer be used. */
         void onBroken(DisconnectCause how);
     }
@@ -32,6 +35,12 @@
     /** Encodes a request for the server's load report. */
     byte[] encodeProbe();
 
+    /**
+     * Encodes the request that synchronizes the connection after an answer. The server's reply to it follows all that
+     * it has sent before, so surplus data behind the answer shows before the reply, however late it arrives.
+     */
+    byte[] encodeSynchronization();
+
     /** Takes received bytes; consumes all of them. */
     void receive(ByteBuffer bytes);
 
--- a/router/src/main/java/stoatrill/pg/PgServer.java
+++ b/router/src/main/java/stoatrill/pg/PgServer.java
@@ -12,7 +12,11 @@
 import stoatrill.core.Statement;
 import stoatrill.net.ServerProtocol;
 
-/** Protocol of a connection to a server: startup, then one query or probe at a time. */
+/**
+ * Protocol of a connection to a server: startup, then one query or probe at a time. After an answer the connection is
+ * synchronized by an empty query, whose response has no other form than EmptyQueryResponse, so that no part of an
+ * earlier answer passes for it.
+ */
 public final class PgServer implements ServerProtocol {
     /** A value holds at most 64 KiB; no other message comes near that size. */
     private static final int MAX_ROW_BYTES = (64 << 10) + 64;
@@ -35,6 +39,10 @@
         COLUMNS_READ,
         ROW_READ,
         COMPLETE,
+        /** An empty query has been sent, and nothing has come since the answer before it. */
+        SYNCHRONIZING,
+        /** Its EmptyQueryResponse has come; ReadyForQuery is next. */
+        EMPTY_RESPONSE_READ,
         CLOSED
     }
 
@@ -71,6 +79,13 @@
         return Messages.query("SHOW usage".getBytes(StandardCharsets.US_ASCII));
     }
 
+    @Override
+    public byte[] encodeSynchronization() {
+        resetAnswer();
+        phase = Phase.SYNCHRONIZING;
+        return Messages.query(new byte[0]);
+    }
+
     private void beginQuery(boolean probe) {
         resetAnswer();
         phase = Phase.QUERY_SENT;
@@ -93,7 +108,7 @@
                 handleMessage();
             }
         } catch (PgException e) {
-            reportBroken(DisconnectCause.SPOILT);
+            reportBroken(isSynchronizing() ? DisconnectCause.SURPLUS : DisconnectCause.SPOILT);
         }
         input.trim();
     }
@@ -113,12 +128,15 @@
     private boolean beginsExpectedMessage(int type) throws PgException {
         boolean isAllowed =
                 switch (type) {
-                    case -1, 'S', 'N', 'E' -> true;
+                    case -1 -> true;
+                    case 'S', 'N' -> phase != Phase.SYNCHRONIZING;
+                    case 'E' -> !isSynchronizing();
+                    case 'I' -> phase == Phase.SYNCHRONIZING;
                     case 'R', 'K' -> phase == Phase.STARTUP;
                     case 'T' -> phase == Phase.QUERY_SENT;
                     case 'D' -> phase == Phase.COLUMNS_READ;
                     case 'C' -> phase == Phase.ROW_READ;
-                    case 'Z' -> phase == Phase.STARTUP || phase == Phase.COMPLETE;
+                    case 'Z' -> phase == Phase.STARTUP || phase == Phase.COMPLETE || phase == Phase.EMPTY_RESPONSE_READ;
                     default -> false;
                 };
         if (!isAllowed || (type == 'E' && (errorSqlState != null || phase == Phase.COMPLETE))) {
@@ -128,6 +146,10 @@
         return type >= 0;
     }
 
+    private boolean isSynchronizing() {
+        return phase == Phase.SYNCHRONIZING || phase == Phase.EMPTY_RESPONSE_READ;
+    }
+
     private void handleMessage() throws PgException {
         answerSize += input.bodySize() + MESSAGE_HEADER_BYTES;
         require(answerSize <= MAX_ANSWER_BYTES);
@@ -149,6 +171,10 @@
                 require(input.stringEnd(0) == input.bodySize() - 1);
                 keepMessage(Phase.COMPLETE);
             }
+            case 'I' -> {
+                require(input.bodySize() == 0);
+                phase = Phase.EMPTY_RESPONSE_READ;
+            }
             case 'E' -> {
                 String state = parseSqlState();
                 // After the answer has begun, no SQLSTATE proves that the statement did not run: an upload that may
@@ -239,6 +265,12 @@
             environment.onStartupComplete();
             return;
         }
+        if (phase == Phase.EMPTY_RESPONSE_READ) {
+            require(!input.hasUnreadBytes());
+            phase = Phase.IDLE;
+            environment.onSynchronized();
+            return;
+        }
         // Bytes after a complete answer: the answer counts, but the connection is not used for another query.
         boolean reusable = !input.hasUnreadBytes();
         phase = reusable ? Phase.IDLE : Phase.CLOSED;
--- a/router/src/test/java/stoatrill/PartialWriteTest.java
+++ b/router/src/test/java/stoatrill/PartialWriteTest.java
@@ -64,6 +64,11 @@
             return inner.encodeProbe();
         }
 
+        @Override
+        public byte[] encodeSynchronization() {
+            return inner.encodeSynchronization();
+        }
+
         @Override
         public void receive(ByteBuffer bytes) {
             inner.receive(bytes);
--- a/router/src/test/java/stoatrill/config/GeneratedSettingsTest.java
+++ b/router/src/test/java/stoatrill/config/GeneratedSettingsTest.java
@@ -169,6 +169,18 @@
             answer(connection);
         }
 
+        @Override
+        public void synchronize(long connection) {
+            int chance = random.nextInt(9);
+            runLater(() -> {
+                if (chance < 7) {
+                    reducer.onServerSynchronized(nowNanos, connection);
+                } else if (chance < 8) {
+                    reducer.onServerConnectionLost(nowNanos, connection, stoatrill.core.DisconnectCause.SURPLUS);
+                } // otherwise the server hangs
+            });
+        }
+
         @Override
         public void sendProbe(long connection) {
             answer(connection);
--- a/router/src/test/java/stoatrill/core/AnsweredUnderFaultsTest.java
+++ b/router/src/test/java/stoatrill/core/AnsweredUnderFaultsTest.java
@@ -281,6 +281,22 @@
                 () -> reducer.onServerAnswer(now, connection, serverAnswer(server, result), reusable));
     }
 
+    @Override
+    public void synchronize(long connection) {
+        int outcomeDraw = random.nextInt(100);
+        if (outcomeDraw < 2) {
+            return; // it is never answered
+        }
+        if (outcomeDraw < 5) {
+            DisconnectCause cause = outcomeDraw < 4 ? DisconnectCause.SURPLUS : DisconnectCause.ENDED;
+            schedule(random.nextInt(50), () -> reducer.onServerConnectionLost(now, connection, cause));
+            return;
+        }
+        schedule(
+                randomlyTrue(0.95) ? random.nextInt(3) : random.nextInt(400),
+                () -> reducer.onServerSynchronized(now, connection));
+    }
+
     private ServerAnswer serverAnswer(String server, Result result) {
         Role role = server.equals("p") ? Role.PRIMARY : Role.REPLICA;
         long position = now / NANOS_PER_MILLI - (randomlyTrue(0.2) ? random.nextInt(2_000) : 0);
--- a/router/src/test/java/stoatrill/core/DrainNotificationHarness.java
+++ b/router/src/test/java/stoatrill/core/DrainNotificationHarness.java
@@ -372,6 +372,11 @@
         }
     }
 
+    @Override
+    public void synchronize(long id) {
+        schedule(1, () -> reducer.onServerSynchronized(now, id));
+    }
+
     @Override
     public void sendProbe(long id) {
         schedule(
--- a/router/src/test/java/stoatrill/core/NoOpEffects.java
+++ b/router/src/test/java/stoatrill/core/NoOpEffects.java
@@ -10,6 +10,9 @@
     @Override
     public void sendQuery(long connection, Statement statement, long waitMillis) {}
 
+    @Override
+    public void synchronize(long connection) {}
+
     @Override
     public boolean hasNoUnreadData(long connection) {
         return true;
--- a/router/src/test/java/stoatrill/core/ReducerScenarioTest.java
+++ b/router/src/test/java/stoatrill/core/ReducerScenarioTest.java
@@ -21,7 +21,8 @@
 /**
  * Runs the reducer on fake time with scripted clients and servers. A client sends {@code CLASS NAME WAIT}. A server
  * sends {@code up}, {@code taken} (the last byte is written), outcomes, {@code noise} (unsolicited data, found before
- * reuse) and {@code spoilt} (malformed data), and expects the effects on its connections.
+ * reuse) and {@code spoilt} (malformed data), and expects the effects on its connections. It replies to a
+ * synchronization at once; after {@code hold}, it does so when told {@code synchronized}.
  */
 class ReducerScenarioTest implements Scenario.Driver, Effects {
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -45,6 +46,8 @@
     private final Map<Long, String> requestNameBySlot = new HashMap<>();
     private long now = START_TIME;
     private final java.util.Set<Long> connectionsWithUnreadData = new java.util.HashSet<>();
+    private final java.util.Set<String> serversHoldingSynchronizations = new java.util.HashSet<>();
+    private final ArrayDeque<Long> synchronizationReplies = new ArrayDeque<>();
     private long nextSlot;
     private Reducer reducer;
 
@@ -62,6 +65,7 @@
             serverByPort.put(port, List.of("", "r1", "r2", "p").get(port));
             configText = configText.replaceFirst("127.0.0.1:9\", \"az\"", "127.0.0.1:" + port++ + "\", \"az\"");
         }
+        serversHoldingSynchronizations.clear();
         Config config = Config.parse(configText, Map.of());
         reducer = new Reducer(
                 this,
@@ -198,27 +202,105 @@
         """);
     }
 
+    /**
+     * Guards against a copy of an answer that is taken for the answer to a later request: however long a server's reply
+     * takes, nothing is sent on its connection before.
+     */
     @Test
-    void sendsAnUploadOnlyOnASettledConnection() throws Exception {
+    void sendsNothingOnAConnectionBeforeItIsSynchronized() throws Exception {
         play(UPLOAD_SENT_TO_P + """
+        p send hold
         p send ok
         c expect u served
+        p expect synchronize
         c send upload v 1000
-        p expect open
         p expect nothing
+        p send synchronized
+        p expect query v 1000
         """);
-        play("""
+        play(READ_SENT_TO_R1 + """
+        r1 send hold
+        r1 send ok
+        c expect a served
+        r1 expect synchronize
+        c send archive b 500
+        r1 expect nothing
+        r1 send synchronized
+        r1 expect query b 500
+        """);
+    }
+
+    @Test
+    void opensAConnectionWhenTheSynchronizationTakesLongerThanTheOpeningOfOne() throws Exception {
+        String lateSynchronization = """
         c send upload u 1000
         p expect open
+        wait 10
         p send up
-        p expect query u 1000
+        p expect query u 990
+        p send hold
+        p send ok
+        c expect u served
+        p expect synchronize
+        wait 5
         c send upload v 1000
+        p expect nothing
+        wait 4
+        p expect nothing
+        wait 1
         p expect open
-        p send first ok
+        """;
+        play(lateSynchronization + """
+        p send up
+        p expect query v 995
+        wait 239
+        p expect nothing
+        wait 1
+        p expect close
+        """);
+        play(lateSynchronization + """
+        p send first synchronized
+        p expect query v 995
+        """);
+    }
+
+    @Test
+    void opensAConnectionWhenTheOneThatIsBeingSynchronizedEnds() throws Exception {
+        play(UPLOAD_SENT_TO_P + """
+        p send hold
+        p send ok
         c expect u served
+        p expect synchronize
+        c send upload v 1000
         p expect nothing
-        wait 3
-        p expect query v 998
+        p close
+        p expect open
+        p send up
+        p expect query v 1000
+        """);
+    }
+
+    @Test
+    void closesTheConnectionToAServerThatLeavesInsteadOfSynchronizingIt() throws Exception {
+        play(READ_SENT_TO_R1);
+        updateServerList(false, "r1", "Terminating");
+        Scenario.run(this, """
+        r1 send ok
+        c expect a served
+        r1 expect close
+        """);
+    }
+
+    @Test
+    void closesAConnectionThatIsBeingSynchronizedToOpenANewOne() throws Exception {
+        play(1, READ_SENT_TO_R1 + """
+        r1 send hold
+        r1 send ok
+        c expect a served
+        r1 expect synchronize
+        c send upload u 1000
+        r1 expect close
+        p expect open
         """);
     }
 
@@ -509,6 +591,8 @@
         switch (words[0]) {
             case "up" -> reducer.onServerConnected(now, connection);
             case "taken" -> reducer.onQueryWritten(connection);
+            case "hold" -> serversHoldingSynchronizations.add(actor);
+            case "synchronized" -> reducer.onServerSynchronized(now, connection);
             case "noise" -> connectionsWithUnreadData.add(connection);
             case "spoilt" -> reducer.onServerConnectionLost(now, connection, DisconnectCause.SPOILT);
             case "future" ->
@@ -529,6 +613,9 @@
                                 new byte[1]),
                         true);
         }
+        while (!synchronizationReplies.isEmpty()) {
+            reducer.onServerSynchronized(now, synchronizationReplies.poll());
+        }
     }
 
     @Override
@@ -574,6 +661,16 @@
                 "query " + new String(statement.encodeWithWait(waitMillis), StandardCharsets.UTF_8));
     }
 
+    @Override
+    public void synchronize(long connection) {
+        String server = serverByConnection.get(connection);
+        if (serversHoldingSynchronizations.contains(server)) {
+            recordEvent(server, "synchronize");
+        } else {
+            synchronizationReplies.add(connection);
+        }
+    }
+
     @Override
     public boolean hasNoUnreadData(long connection) {
         return !connectionsWithUnreadData.contains(connection);
--- a/router/src/test/java/stoatrill/core/RestartsWithoutDiscoveryTest.java
+++ b/router/src/test/java/stoatrill/core/RestartsWithoutDiscoveryTest.java
@@ -114,6 +114,11 @@
             });
         }
 
+        @Override
+        public void synchronize(long connectionId) {
+            deferred.add(() -> reducer.onServerSynchronized(now, connectionId));
+        }
+
         @Override
         public void answerClient(long clientId, long slot, Answer answer) {
             answered++;
--- a/router/src/test/java/stoatrill/net/DepartedClientTest.java
+++ b/router/src/test/java/stoatrill/net/DepartedClientTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static stoatrill.scenario.PgMessages.EMPTY_QUERY_REPLY;
 import static stoatrill.scenario.PgMessages.GREETING;
 import static stoatrill.scenario.PgMessages.READY;
+import static stoatrill.scenario.PgMessages.isEmptyQuery;
 import static stoatrill.scenario.PgMessages.query;
 import static stoatrill.scenario.PgMessages.row;
 import static stoatrill.scenario.PgMessages.startup;
@@ -128,7 +130,11 @@
         in.readNBytes(in.readInt() - 4);
         connection.getOutputStream().write(GREETING);
         while (in.readByte() == 'Q') {
-            in.readNBytes(in.readInt() - 4);
+            String text = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.UTF_8);
+            if (isEmptyQuery(text)) {
+                connection.getOutputStream().write(EMPTY_QUERY_REPLY);
+                continue;
+            }
             requestsAtServer.incrementAndGet();
             try {
                 serverReleased.await();
--- a/router/src/test/java/stoatrill/net/EachCallFailsTest.java
+++ b/router/src/test/java/stoatrill/net/EachCallFailsTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static stoatrill.scenario.PgMessages.EMPTY_QUERY_REPLY;
 import static stoatrill.scenario.PgMessages.GREETING;
 import static stoatrill.scenario.PgMessages.READY;
+import static stoatrill.scenario.PgMessages.isEmptyQuery;
 import static stoatrill.scenario.PgMessages.query;
 import static stoatrill.scenario.PgMessages.row;
 import static stoatrill.scenario.PgMessages.startup;
@@ -302,6 +304,10 @@
             connection.getOutputStream().write(GREETING);
             while (in.readByte() == 'Q') {
                 String text = new String(in.readNBytes(in.readInt() - 4), StandardCharsets.UTF_8);
+                if (isEmptyQuery(text)) {
+                    connection.getOutputStream().write(EMPTY_QUERY_REPLY);
+                    continue;
+                }
                 if (text.startsWith("INSERT")) {
                     runsByUpload.merge(text.substring(text.indexOf("id=") + 3, text.indexOf(",c=")), 1, Integer::sum);
                 }
--- a/router/src/test/java/stoatrill/pg/MessageReaderTest.java
+++ b/router/src/test/java/stoatrill/pg/MessageReaderTest.java
@@ -81,6 +81,9 @@
                 assertTrue(reusable);
             }
 
+            @Override
+            public void onSynchronized() {}
+
             @Override
             public void onBroken(DisconnectCause how) {
                 throw new AssertionError(how.toString());
--- a/router/src/test/java/stoatrill/pg/PgServerScenarioTest.java
+++ b/router/src/test/java/stoatrill/pg/PgServerScenarioTest.java
@@ -22,6 +22,8 @@
     private static final String COLUMNS = "s send T ~^v~" + "~".repeat(18) + "\n";
     private static final String QUERY = "s send query\n";
     private static final String STARTUP = "s send R ~~~~\ns send Z I\ns expect up\n";
+    private static final String ANSWERED =
+            STARTUP + QUERY + "s send E SERROR~C72000~~\ns send Z I\ns expect MISS UNKNOWN -1 null true\n";
     private final ArrayDeque<String> events = new ArrayDeque<>();
     private PgServer server = new PgServer(this);
     private byte[] value;
@@ -162,8 +164,67 @@
         """);
     }
 
+    @Test
+    void connectionIsSynchronizedByTheReplyToAnEmptyQuery() throws Exception {
+        Scenario.run(this, ANSWERED + """
+        s send synchronization
+        s expect nothing
+        s send raw 49 00000004
+        s expect nothing
+        s send Z I
+        s expect synchronized
+        s send query
+        s send E SERROR~C72000~~
+        s send Z I
+        s expect MISS UNKNOWN -1 null true
+        """);
+        server = new PgServer(this);
+        Scenario.run(this, ANSWERED + """
+        s send synchronization
+        s send raw 49 00000004
+        s send N~
+        s send S server_role~writer~
+        s send Z I
+        s expect synchronized
+        """);
+    }
+
+    /** Whatever comes before, in place of or behind the reply ends the connection; none of it counts as an answer. */
+    @Test
+    void surplusDataDuringSynchronizationEndsTheConnection() throws Exception {
+        for (String surplus : List.of(
+                "s send E SERROR~C25006~~",
+                "s send E SERROR~C53300~~",
+                COLUMNS,
+                "s send raw 54",
+                "s send raw 01",
+                "s send raw 5a 00000005 49",
+                "s send raw 53 00000005 00",
+                "s send raw 4e 00000005 00",
+                "s send raw 49 00000005 00",
+                "s send raw 49 00000004\ns send raw 49",
+                "s send raw 49 00000004\ns send raw 54",
+                "s send raw 49 00000004\ns send raw 5a 00000005 49 54",
+                "s send raw 49 00000004\ns send Z T")) {
+            server = new PgServer(this);
+            Scenario.run(
+                    this,
+                    ANSWERED + "s send synchronization\n" + surplus + "\ns expect broken SURPLUS\ns expect nothing\n");
+        }
+        server = new PgServer(this);
+        Scenario.run(this, ANSWERED + """
+        s send synchronization
+        s close
+        s expect broken ENDED
+        """);
+    }
+
     @Override
     public void send(String actor, String text) {
+        if (text.equals("synchronization")) {
+            assertArrayEquals(Messages.message('Q', new byte[1]), server.encodeSynchronization());
+            return;
+        }
         if (text.equals("query")) {
             server.encodeQuery(wait -> new byte[0], 1);
             return;
@@ -204,6 +265,11 @@
                 + (answer.report() == null ? null : answer.report().get("q")) + " " + reusable);
     }
 
+    @Override
+    public void onSynchronized() {
+        events.add("synchronized");
+    }
+
     @Override
     public void onBroken(DisconnectCause cause) {
         events.add("broken " + cause);
--- a/router/src/test/java/stoatrill/scenario/PgMessages.java
+++ b/router/src/test/java/stoatrill/scenario/PgMessages.java
@@ -11,8 +11,17 @@
     public static final byte[] GREETING =
             ByteBuffer.allocate(15).put(message('R', new byte[4])).put(READY).array();
 
+    /** The reply to an empty query: EmptyQueryResponse and ReadyForQuery. */
+    public static final byte[] EMPTY_QUERY_REPLY =
+            ByteBuffer.allocate(11).put(message('I', new byte[0])).put(READY).array();
+
     private PgMessages() {}
 
+    /** Whether the text of a query message, with the zero that ends it, is that of an empty query. */
+    public static boolean isEmptyQuery(String text) {
+        return text.equals("\0");
+    }
+
     /** Returns a startup message of protocol 3.0. */
     public static byte[] startup() {
         return ByteBuffer.allocate(32)
--- a/router/src/test/java/stoatrill/scenario/RouterProcessDriver.java
+++ b/router/src/test/java/stoatrill/scenario/RouterProcessDriver.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static stoatrill.scenario.PgMessages.EMPTY_QUERY_REPLY;
 import static stoatrill.scenario.PgMessages.GREETING;
 import static stoatrill.scenario.PgMessages.READY;
+import static stoatrill.scenario.PgMessages.isEmptyQuery;
 import static stoatrill.scenario.PgMessages.message;
 import static stoatrill.scenario.PgMessages.query;
 import static stoatrill.scenario.PgMessages.row;
@@ -62,6 +64,9 @@
         c expect row y
         """;
 
+    /** Bytes that begin no message. */
+    private static final byte[] NOISE = "\1\2\3 no message begins like this \4\5".getBytes(StandardCharsets.US_ASCII);
+
     protected static final String READ = "SELECT v FROM records WHERE k = 'a1' /* id=%s,c=archive,d=25000,cluster=0 */";
     protected static final String WRITE =
             "INSERT INTO records (k, v) VALUES ('a1', '\\x01') RETURNING v /* id=%s,c=upload,d=25000,cluster=0 */";
@@ -87,6 +92,11 @@
     private long signalledAt;
     private final Map<String, byte[]> unsentRests = new HashMap<>();
     private final Set<String> heldServers = ConcurrentHashMap.newKeySet();
+    /** Servers that send surplus data behind their answers, with the kind of it. */
+    private final Map<String, String> surplusKinds = new ConcurrentHashMap<>();
+    /** Surplus data that a server has sent and its system holds back until the router sends something. */
+    private final Map<Socket, byte[]> heldBackData = new ConcurrentHashMap<>();
+
     private final Map<String, String> serverRoles = new ConcurrentHashMap<>(Map.of("p", "writer"));
     private final Map<String, byte[]> automaticAnswers = new ConcurrentHashMap<>();
     private final Map<String, byte[]> automaticReadAnswers = new ConcurrentHashMap<>();
@@ -220,8 +230,8 @@
             byte[] body = words[0].equals("row")
                     ? row(words[1])
                     : message('E', ("SERROR\0C" + words[1] + "\0Mno\0\0").getBytes(StandardCharsets.UTF_8));
-            byte[] roleMessage = roleMessage(actor);
             if (words[0].equals("part")) {
+                byte[] roleMessage = roleMessage(actor);
                 // Sends that many bytes of an answer, then closes. An odd number that ends within a message is followed
                 // by a reset instead.
                 byte[] bytes = ByteBuffer.allocate(row("x").length + roleMessage.length + 6)
@@ -238,7 +248,7 @@
                 server.close();
                 return;
             }
-            write(latestSockets.get(actor), body, roleMessage, READY);
+            writeAnswer(actor, latestSockets.get(actor), body);
         } else {
             Socket client = clients.get(actor);
             if (words[0].equals("crowd")) { // many connections that stay idle, or begin a message
@@ -317,7 +327,8 @@
      * Carries out server commands other than plain answers. {@code hold} withholds the greeting from new connections
      * and {@code welcome} greets the newest and all later ones. {@code role} sets the role that the server reports.
      * {@code always ROW} answers all further requests at once, and {@code reads ROW} all further reads. {@code to ID}
-     * answers the request with that id.
+     * answers the request with that id. {@code surplus copy} and {@code surplus noise} send that behind each further
+     * answer, and {@code surplus none} ends it.
      *
      * @return whether the words were such a command
      */
@@ -329,6 +340,7 @@
                 write(latestSockets.get(server), GREETING);
             }
             case "role" -> serverRoles.put(server, words[1]);
+            case "surplus" -> surplusKinds.put(server, words[1]);
             case "always" -> automaticAnswers.put(server, row(words[1]));
             case "reads" -> automaticReadAnswers.put(server, row(words[1]));
             case "to" -> {
@@ -343,6 +355,19 @@
         return true;
     }
 
+    /**
+     * Writes a server's answer. Surplus data behind it is held back until the router sends something on the connection,
+     * as Nagle's algorithm does until the router's system acknowledges the answer, which it does with that.
+     */
+    private void writeAnswer(String server, Socket socket, byte[] body) throws IOException {
+        switch (surplusKinds.getOrDefault(server, "none")) {
+            case "copy" -> heldBackData.put(socket, concatenate(body, roleMessage(server), READY));
+            case "noise" -> heldBackData.put(socket, NOISE);
+            default -> {}
+        }
+        write(socket, body, roleMessage(server), READY);
+    }
+
     private byte[] roleMessage(String server) {
         String role = "server_role\0" + serverRoles.getOrDefault(server, "reader") + "\0";
         return message('S', role.getBytes(StandardCharsets.UTF_8));
@@ -501,7 +526,15 @@
             write(socket, GREETING);
         }
         while (input.readByte() == 'Q') {
+            byte[] heldBack = heldBackData.remove(socket);
+            if (heldBack != null) {
+                write(socket, heldBack);
+            }
             String text = new String(input.readNBytes(input.readInt() - 4), StandardCharsets.UTF_8);
+            if (isEmptyQuery(text)) {
+                write(socket, EMPTY_QUERY_REPLY);
+                continue;
+            }
             latestSockets.put(name, socket);
             String id = text.substring(text.indexOf("id=") + 3, text.indexOf(",c="));
             latestSockets.put(name + "/" + id, socket);
@@ -511,7 +544,7 @@
                 automaticAnswer = automaticReadAnswers.get(name);
             }
             if (automaticAnswer != null) {
-                write(socket, automaticAnswer, roleMessage(name), READY);
+                writeAnswer(name, socket, automaticAnswer);
             }
             recordReceived(name, (isRead ? "read " : "write ") + id);
         }
@@ -530,10 +563,14 @@
     }
 
     protected static void write(Socket socket, byte[]... parts) throws IOException {
+        socket.getOutputStream().write(concatenate(parts));
+    }
+
+    private static byte[] concatenate(byte[]... parts) throws IOException {
         ByteArrayOutputStream message = new ByteArrayOutputStream();
         for (byte[] part : parts) {
             message.write(part);
         }
-        socket.getOutputStream().write(message.toByteArray());
+        return message.toByteArray();
     }
 }
