Close a connection whose synchronization is late before one that is in use is missed

A server that stops replying to empty queries kept its connections for the connect timeout. Where they used up the limit, attempts to the same server waited for that; now such a connection is closed for the new one. Attempts wait for a synchronization for a quarter of the connect timeout at most, which leaves the rest for the connection opened then. A connection that was established or synchronized while its server began to leave is closed too.

--- a/router/src/main/java/stoatrill/core/ServerPool.java
+++ b/router/src/main/java/stoatrill/core/ServerPool.java
@@ -72,6 +72,11 @@
             this.endpoint = endpoint;
         }
 
+        /** Whether it drains or is not listed, so that no connection to it is kept. */
+        private boolean isLeaving() {
+            return !isListed || leavingSince != NOT_LEAVING;
+        }
+
         /** Whether it has a connection or a waiting attempt. */
         boolean isInUse() {
             return connectionCount > 0 || !waitingAttempts.isEmpty();
@@ -105,6 +110,12 @@
         IDLE
     }
 
+    /**
+     * The longest that attempts wait for a synchronization, as a ratio of the connect timeout. The rest of it is for
+     * the connection that is opened then.
+     */
+    private static final double SYNCHRONIZATION_WAIT_RATIO = 0.25;
+
     private final Effects effects;
     private final DeadlineQueue deadlines;
     private final Owner owner;
@@ -206,14 +217,13 @@
     }
 
     /**
-     * Closes the connection without an attempt that was opened first, so that these don't use up the limit. Excepts the
-     * connections to {@code excluded}, and those that are being synchronized while attempts wait for their server.
-     * Returns whether there was one.
+     * Closes the connection without an attempt that was opened first, so that these don't use up the limit. Of those to
+     * {@code excluded}, only a connection whose synchronization is late is closed. Returns whether there was one.
      */
     private boolean closeIdleElsewhere(Server excluded) {
         Connection oldest = null;
         for (Connection candidate : connectionsById.values()) {
-            if (isSpare(candidate) && candidate.server != excluded && (oldest == null || candidate.id < oldest.id)) {
+            if (isSpare(candidate, excluded) && (oldest == null || candidate.id < oldest.id)) {
                 oldest = candidate;
             }
         }
@@ -224,11 +234,12 @@
         return oldest != null;
     }
 
-    private static boolean isSpare(Connection connection) {
+    private static boolean isSpare(Connection connection, Server excluded) {
         return switch (connection.state) {
             case OPENING, BUSY -> false;
-            case SYNCHRONIZING, SYNCHRONIZING_LATE -> connection.server.waitingAttempts.isEmpty();
-            case IDLE -> true;
+            case SYNCHRONIZING -> connection.server != excluded && connection.server.waitingAttempts.isEmpty();
+            case SYNCHRONIZING_LATE -> true;
+            case IDLE -> connection.server != excluded;
         };
     }
 
@@ -268,20 +279,21 @@
     }
 
     /**
-     * Takes a connection back after an answer. It is synchronized before it is used again, unless its server is leaving:
-     * a connection to that one is closed.
+     * Takes a connection back after an answer. It is synchronized before it is used again; a connection to a server
+     * that is leaving is closed.
      */
     void releaseConnection(long now, Connection connection) {
         Server server = connection.server;
         connection.attempt = null;
-        if (!server.isListed || server.leavingSince != Server.NOT_LEAVING) {
+        if (server.isLeaving()) {
             closeConnection(connection);
             return;
         }
         connection.state = State.SYNCHRONIZING;
         server.synchronizingConnections.add(connection);
         server.synchronizingInTimeCount++;
-        long lateAt = now + Math.min(server.openingNanos, limits.connectTimeout());
+        long longestWait = (long) (limits.connectTimeout() * SYNCHRONIZATION_WAIT_RATIO);
+        long lateAt = now + Math.min(server.openingNanos, longestWait);
         connection.timeout = deadlines.schedule(lateAt, () -> synchronizationLate(lateAt, now, connection));
         effects.synchronize(connection.id);
     }
@@ -312,7 +324,7 @@
     private void rest(long now, Connection connection) {
         Server server = connection.server;
         connection.attempt = null;
-        if (!server.isListed) {
+        if (server.isLeaving()) {
             closeConnection(connection);
             return;
         }
--- a/router/src/test/java/stoatrill/core/ReducerScenarioTest.java
+++ b/router/src/test/java/stoatrill/core/ReducerScenarioTest.java
@@ -280,6 +280,29 @@
         """);
     }
 
+    /** A server that has stopped replying holds nobody up, also where its connections use up the limit. */
+    @Test
+    void closesAConnectionWhoseSynchronizationIsLateToOpenANewOneToTheSameServer() throws Exception {
+        play(1, """
+        c send upload u 1000
+        p expect open
+        wait 2
+        p send up
+        p expect query u 998
+        p send hold
+        p send ok
+        c expect u served
+        p expect synchronize
+        c send upload v 1000
+        p expect nothing
+        wait 2
+        p expect close
+        p expect open
+        p send up
+        p expect query v 998
+        """);
+    }
+
     @Test
     void closesTheConnectionToAServerThatLeavesInsteadOfSynchronizingIt() throws Exception {
         play(READ_SENT_TO_R1);
