Take no surplus data of discovery for the response to a later call

Cause, the same as that of foreign answers from servers: the connection to discovery was used again at once after a response, and what came next was the response to the next call, whatever it was. Surplus data read together with a response was dropped and the rest of it parsed as a response. A copy of a list answered the watch after it, and from then on every call got the response to the one before; data that came without a call under way stayed in the parser.

HTTP has nothing that tells the order as an empty query does, so a response is taken only where it can't be such data: calls that are answered at once begin a new connection, and a watch on a connection that has been used is answered by a newer version or not before its hold time. What is read behind a response, or without a call, ends the connection; the response before it counts.

No page says that discovery sends such data; no client has been seen to meet it.

--- a/router/src/main/java/stoatrill/discovery/DiscoveryClient.java
+++ b/router/src/main/java/stoatrill/discovery/DiscoveryClient.java
@@ -19,6 +19,10 @@
  * <p>A watch continues as long as its next call follows at once. A failed call ends it, and the module decides when
  * to follow the list again. A watch that falls silent is replaced at once, since a change that it missed counts as
  * known to the router soon after its hold time.
+ *
+ * <p>Nothing in a response names its call, so a response is taken for that of a call only where it can't be surplus
+ * data behind an earlier response: calls that are answered at once begin a new connection, and a watch's response
+ * brings a new version or comes after its hold time.
  */
 public final class DiscoveryClient {
 
@@ -102,6 +106,9 @@
         /** Delivers a list or changes of it, or, without entries, reports a failed call or a silent watch. */
         void onServerList(long now, ListKind kind, List<ServerEntry> entries);
 
+        /** Discovery has sent data that belongs to no call; its connection is not used further. */
+        default void onSurplusData() {}
+
         /** Logs a line for the operators. */
         void log(String line);
     }
@@ -129,6 +136,8 @@
     private boolean isConnecting;
     private boolean isNewConnection;
     private boolean responseBegun;
+    /** Before this, a watch is answered only if there is a newer version. */
+    private long holdEndsAt;
     /** Whether the call under way repeats one that was not answered in time. */
     private boolean isSecondTry;
 
@@ -185,6 +194,9 @@
 
     private void startCall(long now) {
         responseBegun = false;
+        if (isConnected && currentCall != CallKind.WATCH) {
+            disconnect();
+        }
         isNewConnection = !isConnected;
         if (isConnected) {
             sendRequest(now);
@@ -198,6 +210,7 @@
     private void sendRequest(long now) {
         long maxHoldMillis = timing.maxHold() / Timing.NANOS_PER_MILLI;
         long holdMillis = currentCall != CallKind.WATCH ? 0 : maxHoldMillis / 2 + random.nextLong(maxHoldMillis / 2);
+        holdEndsAt = now + holdMillis * Timing.NANOS_PER_MILLI - Timing.PROTOCOL_SLACK_NANOS;
         // The connection to a discovery that is cut off stays open and silent, so every call has a timeout.
         if (currentCall == CallKind.WATCH) {
             setTimeout(now + holdMillis * Timing.NANOS_PER_MILLI + timing.holdOverrun(), this::handleSilentWatch);
@@ -226,12 +239,20 @@
 
     /** Bytes have arrived; all of them are consumed. */
     public void received(long now, ByteBuffer bytes) {
-        if (!responseBegun && currentCall != CallKind.NONE) {
+        if (currentCall == CallKind.NONE) {
+            bytes.position(bytes.limit());
+            dropConnectionWithSurplusData();
+            return;
+        }
+        if (!responseBegun) {
             setTimeout(now + Timing.RESPONSE_TIMEOUT_NANOS, this::failCall); // the response may never be completed
         }
         responseBegun = true;
         try {
             ResponseParser.Response response = parser.parse(bytes);
+            if (response != null && bytes.hasRemaining()) {
+                dropConnectionWithSurplusData(); // the response came first and counts
+            }
             if (response != null) {
                 handleResponse(now, response);
             }
@@ -239,7 +260,13 @@
             logUnusableResponse(e.getMessage());
             failCall(now);
         }
-        bytes.position(bytes.limit()); // one call at a time: nothing may follow its response
+        bytes.position(bytes.limit());
+    }
+
+    /** Ends the connection: what else comes on it could be taken for the response to a later call. */
+    private void dropConnectionWithSurplusData() {
+        environment.onSurplusData();
+        disconnect();
     }
 
     /** Discovery has closed the connection in order, which completes a response without a length. */
@@ -273,10 +300,6 @@
     }
 
     private void handleResponse(long now, ResponseParser.Response response) {
-        if (currentCall == CallKind.NONE) {
-            failCall(now);
-            return;
-        }
         if (!response.reusable()) {
             disconnect();
         }
@@ -286,6 +309,11 @@
         }
         try {
             ServerList list = ServerList.parse(new String(response.body(), StandardCharsets.UTF_8));
+            if (answersEarlierCall(now, list)) {
+                dropConnectionWithSurplusData();
+                startCall(now);
+                return;
+            }
             finishCall();
             checkNeeded = false;
             badResponseLogged = false;
@@ -299,6 +327,14 @@
         }
     }
 
+    /**
+     * Whether a response may be surplus data behind the response to an earlier call on this connection. A watch is
+     * answered before its hold time only with a newer version, and a copy brings one that is already held.
+     */
+    private boolean answersEarlierCall(long now, ServerList list) {
+        return currentCall == CallKind.WATCH && !isNewConnection && list.version() <= version && now < holdEndsAt;
+    }
+
     /** Logs why a response can't be used, once until a usable one arrives. */
     private void logUnusableResponse(String reason) {
         if (!badResponseLogged) {
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -1499,6 +1499,14 @@
         }
     }
 
+    @Override
+    public void onSurplusData() {
+        count("surplus", "from discovery");
+        if (surplusLines.permits(System.nanoTime())) {
+            LOG.info("discovery at {} sent surplus data; its connection is closed", discoveryAddress);
+        }
+    }
+
     @Override
     public void onServerList(long now, Gateway.ListKind kind, List<ServerEntry> entries) {
         count("list", kind.name());
--- a/router/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
+++ b/router/src/test/java/stoatrill/discovery/DiscoveryScenarioTest.java
@@ -291,6 +291,76 @@
         """);
     }
 
+    /** Guards against a copy of an old list that is taken for the answer to the next call, and so on from then on. */
+    @Test
+    void copyOfAListIsNotTakenForTheAnswerToTheNextWatch() throws Exception {
+        play(4, WATCHING + """
+        list send 200 {"rev":5,"all":false,"targets":[]}
+        list expect GET /v1/servers?from=5&hold_ms=WAIT
+        list expect DELTA 0
+        list send 200 {"rev":5,"all":false,"targets":[]}
+        list expect surplus
+        list expect close
+        list expect open
+        list send up
+        list expect GET /v1/servers?from=5&hold_ms=WAIT
+        list send 200 {"rev":6,"all":false,"targets":[]}
+        list expect GET /v1/servers?from=6&hold_ms=WAIT
+        list expect DELTA 0
+        clock send the wait and 0
+        list send 200 {"rev":6,"all":false,"targets":[]}
+        list expect GET /v1/servers?from=6&hold_ms=WAIT
+        list expect DELTA 0
+        """);
+    }
+
+    @Test
+    void surplusDataReadWithAResponseEndsTheConnectionAndKeepsTheResponse() throws Exception {
+        for (String surplus : List.of("H", "noise", "HTTP/1.1 200 x\r\nContent-Length: 30\r\n\r\n")) {
+            play(4, WATCHING);
+            send("list", "200 {\"rev\":5,\"all\":false,\"targets\":[]}", surplus);
+            Scenario.run(this, """
+            list expect surplus
+            list expect close
+            list expect open
+            list expect DELTA 0
+            list send up
+            list expect GET /v1/servers?from=5&hold_ms=WAIT
+            """);
+        }
+    }
+
+    @Test
+    void dataWithoutACallEndsTheConnection() throws Exception {
+        play(4, WATCHING);
+        client.follow(now, false);
+        Scenario.run(this, """
+        list send 200 {"rev":5,"all":false,"targets":[]}
+        list expect DELTA 0
+        list send half of a response
+        list expect surplus
+        list expect close
+        module send follow
+        list expect open
+        list send up
+        list expect GET /v1/servers?from=5&hold_ms=WAIT
+        """);
+    }
+
+    @Test
+    void fetchesTheWholeListOverANewConnection() throws Exception {
+        play(4, WATCHING);
+        client.fetch(now);
+        Scenario.run(this, """
+        list send 200 {"rev":5,"all":false,"targets":[]}
+        list expect close
+        list expect open
+        list expect DELTA 0
+        list send up
+        list expect GET /v1/servers
+        """);
+    }
+
     @Override
     public void send(String actor, String text) {
         if (actor.equals("clock")) {
@@ -309,15 +379,21 @@
         } else if (text.startsWith("half of ")) {
             client.received(now, ByteBuffer.wrap("HTTP/1.1 200 x\r\nContent-Le".getBytes(StandardCharsets.US_ASCII)));
         } else {
-            String body = text.substring(4);
-            client.received(
-                    now,
-                    ByteBuffer.wrap(("HTTP/1.1 " + text.substring(0, 3) + " x\r\nContent-Length: " + body.length()
-                                    + "\r\n\r\n" + body)
-                            .getBytes(StandardCharsets.US_ASCII)));
+            send(actor, text, "");
         }
     }
 
+    /** Delivers a response and, together with it, what follows it. */
+    private void send(String actor, String text, String surplus) {
+        assertEquals("list", actor);
+        String body = text.substring(4);
+        client.received(
+                now,
+                ByteBuffer.wrap(("HTTP/1.1 " + text.substring(0, 3) + " x\r\nContent-Length: " + body.length()
+                                + "\r\n\r\n" + body + surplus)
+                        .getBytes(StandardCharsets.US_ASCII)));
+    }
+
     @Override
     public void expect(String actor, String text) {
         assertEquals(text, events.isEmpty() ? "nothing" : events.poll());
@@ -356,6 +432,11 @@
         events.add(kind + " " + entries.size());
     }
 
+    @Override
+    public void onSurplusData() {
+        events.add("surplus");
+    }
+
     @Override
     public void log(String line) {
         events.add("said "
