Play copies of answers in the rig and in soaks, and judge foreign values

The rig's clients did not look at the values they were served, and no fault of the rig sent surplus data, so no soak could find an answer that belongs to another request. Relays can send every so many answers twice now, the copy held back until the router's next message.

--- a/lab/src/main/java/stoatrill/lab/cli/SoakCommand.java
+++ b/lab/src/main/java/stoatrill/lab/cli/SoakCommand.java
@@ -90,6 +90,7 @@
         Checker.Verdict v = result.verdict();
         List<String> broken = new ArrayList<>();
         add(broken, "no final answer", v.noFinalAnswer());
+        add(broken, "foreign value", v.foreign());
         add(broken, "closed under a request", v.closedUnder());
         add(broken, "ran twice", v.ranTwice());
         add(broken, "stale", v.stale());
--- a/lab/src/main/java/stoatrill/lab/rig/Checker.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Checker.java
@@ -19,6 +19,7 @@
  *   <li><b>no final answer</b>: a request that ended with outcome {@code none} at a router that was not killed
  *       while it was under way (it dies somewhere between the signal and the end of its process), unless the client
  *       gave up on a router that had stood paused for so long that its time to answer was not over;
+ *   <li><b>foreign</b>: a request that was served with a value that is not its own: another upload's, another key's;
  *   <li><b>ran twice</b>: an upload that ran more than once at the stand-ins;
  *   <li><b>stale</b>: a bounded read answered from data older than {@value #STALE_MILLIS} ms when it came to the
  *       node, at a router that was not paused while it was under way (what is paused between deciding and writing
@@ -61,6 +62,7 @@
             long excused,
             long repeated,
             List<String> noFinalAnswer,
+            List<String> foreign,
             List<String> ranTwice,
             List<String> stale,
             List<String> toLeaving,
@@ -69,6 +71,7 @@
             List<String> logged) {
         public boolean clean() {
             return noFinalAnswer.isEmpty()
+                    && foreign.isEmpty()
                     && ranTwice.isEmpty()
                     && stale.isEmpty()
                     && toLeaving.isEmpty()
@@ -96,6 +99,10 @@
                 unanswered.size() - noFinalAnswer.size(),
                 count(events, request -> request.tryCount() > 1),
                 noFinalAnswer,
+                events.of(Request.class)
+                        .filter(Request::isForeign)
+                        .map(Request::id)
+                        .toList(),
                 ranTwice(events),
                 stale(events, faults),
                 LeavingNodes.sentLate(events, LATE_MILLIS),
@@ -113,7 +120,7 @@
     }
 
     private static boolean isUnanswered(Request request) {
-        return !request.isServed() && !request.isRefused() && !request.isError();
+        return !request.isServed() && !request.isForeign() && !request.isRefused() && !request.isError();
     }
 
     private static List<String> ranTwice(Events events) {
--- a/lab/src/main/java/stoatrill/lab/rig/Clients.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Clients.java
@@ -1,6 +1,7 @@
 package stoatrill.lab.rig;
 
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.sql.Connection;
 import java.sql.DriverManager;
 import java.sql.ResultSet;
@@ -116,9 +117,10 @@
         boolean upload = random.nextDouble() < uploads;
         String key = "station-" + random.nextInt(KEYS);
         String id = "q" + ids.incrementAndGet();
+        String uploaded = key + " " + id;
         String sql = upload
-                ? "INSERT INTO records (k, v) VALUES ('" + key + "', '" + random.nextInt(400) / 10.0
-                        + "') RETURNING v /* id=" + id + ",c=reading-upload,d=3000,cluster=0 */"
+                ? "INSERT INTO records (k, v) VALUES ('" + key + "', '" + uploaded + "') RETURNING v /* id=" + id
+                        + ",c=reading-upload,d=3000,cluster=0 */"
                 : "SELECT v FROM records WHERE k = '" + key + "' /* id=" + id + ",c=recent-read,d="
                         + READ_DEADLINE_NANOS / NANOS_PER_MILLI + ",cluster=0 */";
         long sent = history.now();
@@ -132,7 +134,9 @@
             try (Statement s = line.connection.createStatement();
                     ResultSet r = s.executeQuery(sql)) {
                 r.next();
-                outcome = "ok";
+                String value = new String(r.getBytes(1), StandardCharsets.UTF_8);
+                boolean isOwn = upload ? value.equals(uploaded) : isValueOf(key, value);
+                outcome = isOwn ? "ok" : "foreign";
             } catch (SQLException e) {
                 String state = e.getSQLState();
                 if (state == null || state.startsWith("08")) {
@@ -157,6 +161,11 @@
         history.op(id, upload ? "upload" : "read", line.door.name(), sent, history.now(), outcome, tries, closedBy);
     }
 
+    /** Whether a read of the key may have this value: one that was uploaded for it, or that of a key never written. */
+    private static boolean isValueOf(String key, String value) {
+        return value.equals("reading " + key) || value.startsWith(key + " ");
+    }
+
     /**
      * Whether a request that a close crossed may be sent once more. An upload at a router that was killed may have run:
      * the platform's clients repeat only what a close between requests crossed, which a kill is not.
--- a/lab/src/main/java/stoatrill/lab/rig/History.java
+++ b/lab/src/main/java/stoatrill/lab/rig/History.java
@@ -24,9 +24,9 @@
  * logged ROUTER  LINE                              a line of a router's log that tells of an error or an exception
  * </pre>
  *
- * OUTCOME is {@code ok}, {@code refused} (SQLSTATE 53300 or 57P01: turned away),
- * {@code error:STATE} (another answer of an error), or {@code none} (the connection broke or the client gave up
- * before any answer). Safe for any thread.
+ * OUTCOME is {@code ok}, {@code foreign} (served with a value that is not its own), {@code refused} (SQLSTATE 53300 or
+ * 57P01: turned away), {@code error:STATE} (another answer of an error), or {@code none} (the connection broke or the
+ * client gave up before any answer). Safe for any thread.
  */
 public final class History {
     private final List<String> lines = new ArrayList<>();
--- a/lab/src/main/java/stoatrill/lab/rig/HistoryEvent.java
+++ b/lab/src/main/java/stoatrill/lab/rig/HistoryEvent.java
@@ -38,6 +38,11 @@
             return outcome.equals("ok");
         }
 
+        /** Whether it was served with a value that is not its own. */
+        boolean isForeign() {
+            return outcome.equals("foreign");
+        }
+
         boolean isRefused() {
             return outcome.equals("refused");
         }
--- a/lab/src/main/java/stoatrill/lab/rig/Relay.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Relay.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -24,6 +25,8 @@
  *   <li>{@link #cut}: connections are refused (reset at once) and those open are reset, until it is healed;
  *   <li>{@link #resetAnswers}: the next so many answers (bytes from the target after bytes to it) are not passed:
  *       both sides are reset instead, in the middle of a request whose statement has reached the target;
+ *   <li>{@link #copyAnswers}: every so many answers are sent twice, the copy held back until the peer sends something,
+ *       as a system without TCP_NODELAY may do;
  *   <li>{@link #deafen}: one peer hears nothing from the target, while the target hears it (a one-sided cut).
  * </ul>
  *
@@ -33,6 +36,8 @@
  */
 public final class Relay implements AutoCloseable {
     private static final int CHUNK = 16 * 1024;
+    /** ReadyForQuery, which ends an answer. */
+    private static final byte[] READY = {'Z', 0, 0, 0, 5, 'I'};
 
     private final String name;
     private final InetSocketAddress target;
@@ -42,11 +47,21 @@
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final Set<String> deaf = ConcurrentHashMap.newKeySet();
     private final AtomicInteger resetAnswers = new AtomicInteger();
+    private final AtomicInteger copyInterval = new AtomicInteger();
+    private final AtomicInteger copyableAnswers = new AtomicInteger();
+    private final AtomicLong copies = new AtomicLong();
     private final AtomicLong resets = new AtomicLong();
     private final AtomicLong withheld = new AtomicLong();
     private volatile boolean cut;
     private volatile boolean closed;
 
+    /** What both directions of a connection share; guarded by itself. */
+    private static final class Exchange {
+        boolean isAnswerDue;
+        /** A copy of an answer that waits for the peer's next message; null if there is none. */
+        byte[] heldBackCopy;
+    }
+
     /** Starts to listen on a port that the system chooses; peers are not named. */
     public Relay(String name, InetSocketAddress target) throws IOException {
         this(name, target, port -> "", peer -> {});
@@ -99,6 +114,16 @@
         resetAnswers.set(count);
     }
 
+    /** Sends every {@code interval}-th whole answer twice from now on; 0 to stop. */
+    public void copyAnswers(int interval) {
+        copyInterval.set(interval);
+    }
+
+    /** Copies of answers sent so far. */
+    public long copies() {
+        return copies.get();
+    }
+
     /** Connections reset by a fault so far. */
     public long resets() {
         return resets.get();
@@ -130,16 +155,16 @@
             }
             open.add(client);
             open.add(server);
-            boolean[] asked = new boolean[1];
+            Exchange exchange = new Exchange();
             AtomicInteger ended = new AtomicInteger();
             String peer = peers.apply(client.getPort());
-            pump(client, server, peer, asked, ended, false);
-            pump(server, client, peer, asked, ended, true);
+            pump(client, server, peer, exchange, ended, false);
+            pump(server, client, peer, exchange, ended, true);
         }
     }
 
     /** Passes one direction; the second direction to end closes both sockets. */
-    private void pump(Socket from, Socket to, String peer, boolean[] asked, AtomicInteger ended, boolean answers) {
+    private void pump(Socket from, Socket to, String peer, Exchange exchange, AtomicInteger ended, boolean answers) {
         Thread t = new Thread(
                 () -> {
                     byte[] chunk = new byte[CHUNK];
@@ -153,21 +178,24 @@
                                 continue;
                             }
                             if (answers) {
-                                synchronized (asked) {
-                                    if (asked[0] && resetAnswers.getAndUpdate(k -> Math.max(0, k - 1)) > 0) {
+                                synchronized (exchange) {
+                                    if (exchange.isAnswerDue
+                                            && resetAnswers.getAndUpdate(k -> Math.max(0, k - 1)) > 0) {
                                         resets.incrementAndGet();
                                         reset(from);
                                         reset(to);
                                         return;
                                     }
-                                    asked[0] = false;
+                                    exchange.isAnswerDue = false;
+                                    exchange.heldBackCopy = copyOf(chunk, n);
                                 }
                             } else {
                                 if (new String(chunk, 0, n, StandardCharsets.ISO_8859_1).contains("/* id=")) {
                                     statements.accept(peer);
                                 }
-                                synchronized (asked) {
-                                    asked[0] = true;
+                                synchronized (exchange) {
+                                    exchange.isAnswerDue = true;
+                                    releaseCopy(exchange, from);
                                 }
                             }
                             out.write(chunk, 0, n);
@@ -190,6 +218,24 @@
         t.start();
     }
 
+    /** The copy to send of what a target has sent; null if it is no whole answer with a row, or not its turn. */
+    private byte[] copyOf(byte[] chunk, int length) {
+        boolean isWhole = length > READY.length
+                && chunk[0] == 'T'
+                && Arrays.equals(chunk, length - READY.length, length, READY, 0, READY.length);
+        int interval = copyInterval.get();
+        boolean isCopied = isWhole && interval > 0 && copyableAnswers.incrementAndGet() % interval == 0;
+        return isCopied ? Arrays.copyOf(chunk, length) : null;
+    }
+
+    private void releaseCopy(Exchange exchange, Socket peer) throws IOException {
+        if (exchange.heldBackCopy != null) {
+            copies.incrementAndGet();
+            peer.getOutputStream().write(exchange.heldBackCopy);
+            exchange.heldBackCopy = null;
+        }
+    }
+
     private void reset(Socket s) {
         try (s) {
             s.setSoLinger(true, 0);
--- a/lab/src/main/java/stoatrill/lab/rig/Rig.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Rig.java
@@ -260,6 +260,17 @@
         relays.get(node).resetAnswers(count);
     }
 
+    /** The relays of all nodes send every {@code interval}-th answer twice (0 to stop). */
+    public void copyAnswers(int interval) {
+        history.fault("copies of every " + interval, "nodes");
+        relays.forEach(relay -> relay.copyAnswers(interval));
+    }
+
+    /** Copies of answers that the relays have sent so far. */
+    public long copies() {
+        return relays.stream().mapToLong(Relay::copies).sum();
+    }
+
     /** Node {@code node} applies the log so slowly that its data stands nearly still while {@code on}. */
     public void lag(int node, boolean on) throws IOException {
         history.fault(on ? "lag" : "caughtup", "node" + node);
--- a/lab/src/main/java/stoatrill/lab/rig/Soak.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Soak.java
@@ -26,6 +26,9 @@
     /** Descriptors that a router may hold at rest above those of its start: connections to servers that rest. */
     private static final int MOST_DESCRIPTORS_MORE = 64;
 
+    /** In soaks with copies, every so many answers come twice. */
+    private static final int COPY_INTERVAL = 20;
+
     private static final long MOST_RESIDENT_KIB = 192 * 1024L;
 
     /**
@@ -62,6 +65,7 @@
         try (Rig rig = new Rig(run, routers, nodes, dir, library)) {
             Soak soak = new Soak(rig, routers);
             int[] descriptors = soak.descriptors();
+            rig.copyAnswers(hasCopies(seed) ? COPY_INTERVAL : 0);
             rig.clients(routers, UPLOADS);
             soak.quiet();
             soak.play(faults);
@@ -79,6 +83,11 @@
         }
     }
 
+    /** Whether nodes send copies of answers all the time: in the soaks of odd seeds. */
+    static boolean hasCopies(long seed) {
+        return seed % 2 != 0;
+    }
+
     private void play(List<SoakFault> faults) throws IOException, InterruptedException {
         List<Step> steps = new ArrayList<>();
         for (SoakFault fault : faults) {
