Give a server connection's link, its pool state and surplus data files of their own

ServerLink leaves the event loop with the counting of surplus data (SurplusDataLog), Server and ServerConnection leave the pool; nothing changes in what they do.

--- a/router/src/main/java/stoatrill/core/Attempt.java
+++ b/router/src/main/java/stoatrill/core/Attempt.java
@@ -14,7 +14,7 @@
 
     final Request request;
     final int number;
-    final ServerPool.Server server;
+    final Server server;
     /** When the module asked for it. */
     final long createdAt;
 
@@ -26,11 +26,11 @@
     /** When the request gate last permitted its write. */
     long permittedAt;
 
-    ServerPool.Connection connection;
+    ServerConnection connection;
     Deadline timeoutDeadline;
     Deadline connectDeadline;
 
-    Attempt(Request request, int number, ServerPool.Server server, long createdAt) {
+    Attempt(Request request, int number, Server server, long createdAt) {
         this.request = request;
         this.number = number;
         this.server = server;
--- a/router/src/main/java/stoatrill/core/Reducer.java
+++ b/router/src/main/java/stoatrill/core/Reducer.java
@@ -297,7 +297,7 @@
     /** Handles a connection to a server that is established and accepts queries. */
     public void onServerConnected(long eventTime, long connectionId) {
         now = eventTime;
-        ServerPool.Connection connection = serverPool.get(connectionId);
+        ServerConnection connection = serverPool.get(connectionId);
         if (connection != null) {
             serverPool.connectionEstablished(now, connection);
             runPendingActions();
@@ -312,7 +312,7 @@
 
     /** Same as {@link #onQueryWritten(long, long)}, at the time of the last event. */
     public void onQueryWritten(long connectionId) {
-        ServerPool.Connection connection = serverPool.get(connectionId);
+        ServerConnection connection = serverPool.get(connectionId);
         if (connection != null && connection.attempt != null) {
             connection.attempt.state = Attempt.State.WRITTEN;
             requestGate.recordSent(connection.attempt, now);
@@ -328,7 +328,7 @@
      * @param isPartlyWritten whether a part of the query is written and the server is reading the rest
      */
     public boolean mayWriteQuery(long writeTime, long connectionId, boolean isPartlyWritten) {
-        ServerPool.Connection connection = serverPool.get(connectionId);
+        ServerConnection connection = serverPool.get(connectionId);
         if (connection == null || connection.attempt == null) {
             return false;
         }
@@ -342,7 +342,7 @@
     /** Handles a query that was not written completely and will not be: closes its connection. */
     public void onQueryAbandoned(long eventTime, long connectionId) {
         now = eventTime;
-        ServerPool.Connection connection = serverPool.get(connectionId);
+        ServerConnection connection = serverPool.get(connectionId);
         if (connection != null && connection.attempt != null) {
             abandonAttempt(connection.attempt, Result.TIMEOUT);
             runPendingActions();
@@ -352,7 +352,7 @@
     /** Handles a server's answer; {@code isReusable} tells whether the connection accepts another query. */
     public void onServerAnswer(long eventTime, long connectionId, ServerAnswer answer, boolean isReusable) {
         now = eventTime;
-        ServerPool.Connection connection = serverPool.get(connectionId);
+        ServerConnection connection = serverPool.get(connectionId);
         if (connection == null) {
             return;
         }
@@ -375,7 +375,7 @@
     /** Handles the proof that a server has sent nothing beyond its last answer: the connection is free again. */
     public void onServerSynchronized(long eventTime, long connectionId) {
         now = eventTime;
-        ServerPool.Connection connection = serverPool.get(connectionId);
+        ServerConnection connection = serverPool.get(connectionId);
         if (connection != null) {
             serverPool.connectionSynchronized(now, connection);
             runPendingActions();
@@ -385,7 +385,7 @@
     /** Handles the end of a connection to a server, or unreadable data on it. */
     public void onServerConnectionLost(long eventTime, long connectionId, DisconnectCause cause) {
         now = eventTime;
-        ServerPool.Connection connection = serverPool.get(connectionId);
+        ServerConnection connection = serverPool.get(connectionId);
         if (connection == null) {
             return;
         }
@@ -497,7 +497,7 @@
         pendingActions.add(() -> startAttempt(requestId, serverDirectory.findServer(serverId), timeout));
     }
 
-    private void startAttempt(long requestId, ServerPool.Server server, long timeout) {
+    private void startAttempt(long requestId, Server server, long timeout) {
         Request request = requestsById.get(requestId);
         if (!invariants.check(request != null, "a send names a request that was taken")) {
             return;
@@ -625,7 +625,7 @@
     // Attempts
 
     @Override
-    public boolean writeAttempt(ServerPool.Connection connection, Attempt attempt) {
+    public boolean writeAttempt(ServerConnection connection, Attempt attempt) {
         if (attempt.request == null) {
             connection.attempt = attempt;
             attempt.connection = connection;
@@ -739,7 +739,7 @@
                 report));
     }
 
-    private void updateServer(ServerPool.Server server, ServerAnswer answer, Report report) {
+    private void updateServer(Server server, ServerAnswer answer, Report report) {
         if (answer == null) {
             return;
         }
--- a/router/src/main/java/stoatrill/core/RequestGate.java
+++ b/router/src/main/java/stoatrill/core/RequestGate.java
@@ -164,7 +164,7 @@
      */
     private boolean isLeaving(Attempt attempt, long now) {
         return now - attempt.createdAt > DECISION_VALIDITY_NANOS
-                && attempt.server.leavingSince != ServerPool.Server.NOT_LEAVING
+                && attempt.server.leavingSince != Server.NOT_LEAVING
                 && now - attempt.server.leavingSince >= settings.rules().drainGrace() / 2;
     }
 
--- a/router/src/main/java/stoatrill/core/ServerDirectory.java
+++ b/router/src/main/java/stoatrill/core/ServerDirectory.java
@@ -23,8 +23,8 @@
     private final Clocks clocks;
     private final Reducer.Setup setup;
     private final Consumer<String> log;
-    private final Map<String, ServerPool.Server> serversByUid = new HashMap<>();
-    private final Map<Long, ServerPool.Server> serversById = new HashMap<>();
+    private final Map<String, Server> serversByUid = new HashMap<>();
+    private final Map<Long, Server> serversById = new HashMap<>();
     private final Set<Integer> knownGroups = new HashSet<>();
     private long nextServerId;
     /**
@@ -63,7 +63,7 @@
     }
 
     private ListEntry update(long now, ServerEntry entry) {
-        ServerPool.Server server = serversByUid.computeIfAbsent(entry.uid(), uid -> add(entry));
+        Server server = serversByUid.computeIfAbsent(entry.uid(), uid -> add(entry));
         logChange(now, server, entry);
         knownGroups.add(entry.group());
         if (!server.endpoint.equals(entry.endpoint())) {
@@ -91,7 +91,7 @@
      * Records a start that is later than the known one. Each start is converted to this router's clock only once: the
      * difference between the clocks changes all the time, and the same start must not look like a later one.
      */
-    private void recordStart(long now, ServerPool.Server server, long startedAtMillis) {
+    private void recordStart(long now, Server server, long startedAtMillis) {
         if (hasRestarted(now, server, startedAtMillis)) {
             server.startedAtMillis = startedAtMillis;
             server.startedAt = clocks.startFromWallMillis(startedAtMillis, now);
@@ -99,7 +99,7 @@
     }
 
     /** Whether the listed start is a later one, also where it is an earlier time since the clocks were set back. */
-    private boolean hasRestarted(long now, ServerPool.Server server, long startedAtMillis) {
+    private boolean hasRestarted(long now, Server server, long startedAtMillis) {
         if (startedAtMillis <= 0 || startedAtMillis == server.startedAtMillis) {
             return false;
         }
@@ -111,7 +111,7 @@
      * Logs a change of the server's state or start. Of the servers of the first list, it logs only those that have
      * started recently.
      */
-    private void logChange(long now, ServerPool.Server server, ServerEntry entry) {
+    private void logChange(long now, Server server, ServerEntry entry) {
         long age = entry.startedAtMillis() <= 0
                 ? Long.MAX_VALUE
                 : now - clocks.startFromWallMillis(entry.startedAtMillis(), now);
@@ -127,8 +127,8 @@
         server.listedState = entry.state();
     }
 
-    private ServerPool.Server add(ServerEntry entry) {
-        ServerPool.Server server = new ServerPool.Server(nextServerId++, entry.endpoint());
+    private Server add(ServerEntry entry) {
+        Server server = new Server(nextServerId++, entry.endpoint());
         serversById.put(server.id, server);
         return server;
     }
@@ -145,15 +145,15 @@
                 }
                 server.listedState = ListedState.GONE;
                 server.isListed = false;
-                setLeaving(now, server, server.leavingSince != ServerPool.Server.NOT_LEAVING || isRemovalBinding());
+                setLeaving(now, server, server.leavingSince != Server.NOT_LEAVING || isRemovalBinding());
             }
         });
     }
 
-    private void setLeaving(long now, ServerPool.Server server, boolean isLeaving) {
+    private void setLeaving(long now, Server server, boolean isLeaving) {
         if (!isLeaving) {
-            server.leavingSince = ServerPool.Server.NOT_LEAVING;
-        } else if (server.leavingSince == ServerPool.Server.NOT_LEAVING) {
+            server.leavingSince = Server.NOT_LEAVING;
+        } else if (server.leavingSince == Server.NOT_LEAVING) {
             server.leavingSince =
                     now - (nextNewsMayBeOld ? setup.settings().rules().drainGrace() : 0);
         }
@@ -176,9 +176,9 @@
     }
 
     /** The server with this id; one without an endpoint if it is gone. */
-    ServerPool.Server findServer(long id) {
-        ServerPool.Server known = serversById.get(id);
-        return known != null ? known : new ServerPool.Server(id, null);
+    Server findServer(long id) {
+        Server known = serversById.get(id);
+        return known != null ? known : new Server(id, null);
     }
 
     /** Whether the server list has ever named a server of this group. */
--- a/router/src/main/java/stoatrill/core/ServerPool.java
+++ b/router/src/main/java/stoatrill/core/ServerPool.java
@@ -1,14 +1,10 @@
 package stoatrill.core;
 
-import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import stoatrill.Gateway;
-import stoatrill.core.DeadlineQueue.Deadline;
 
 /**
  * The connections to servers. Each carries one attempt at a time, idle ones are reused, and one limit applies to all.
@@ -22,7 +18,7 @@
     /** Callbacks of the pool to its owner; none of them may call the pool back for the same connection. */
     interface Owner {
         /** Writes the attempt to a connection that is established and free; returns false if it must not be sent. */
-        boolean writeAttempt(Connection connection, Attempt attempt);
+        boolean writeAttempt(ServerConnection connection, Attempt attempt);
 
         /** Ends an attempt that was never written because no connection could be established for it. */
         void connectionFailed(Attempt attempt, boolean isServerFull);
@@ -31,85 +27,6 @@
     /** The pool's initial connection limit and its timeouts in nanoseconds. */
     record Limits(int maxConnections, long connectTimeout, long idleTimeout) {}
 
-    /** A server that the server list has named. */
-    static final class Server {
-        final long id;
-        InetSocketAddress endpoint;
-        /** A lower bound of its log position, from its own answers and reports. */
-        long position = Gateway.NO_POSITION;
-
-        /** Its role, from its own answers. */
-        Gateway.Role role = Gateway.Role.UNKNOWN;
-
-        private final Set<Attempt> waitingAttempts = new LinkedHashSet<>();
-        private final ArrayDeque<Connection> idleConnections = new ArrayDeque<>();
-        private int connectingCount;
-        private final Set<Connection> synchronizingConnections = new LinkedHashSet<>();
-        /** Those of them that are expected to be free before a new one would be. */
-        private int synchronizingInTimeCount;
-        /** How long the last connection that was opened took, in nanoseconds. */
-        private long openingNanos;
-
-        private int connectionCount;
-        /** Whether the server list contains it; no idle connections are kept to a server that is not listed. */
-        boolean isListed = true;
-        /** Its state by the last list that named it; null before the first. */
-        Gateway.ListedState listedState;
-        /** Unix time in milliseconds of its last start by any list; 0 for long ago. */
-        long startedAtMillis;
-        /** The same on this router's clock. */
-        long startedAt;
-        /**
-         * When this router was notified that the server drains or is gone, at the latest: earlier by the grace if the
-         * notification may have counted as told before. {@link #NOT_LEAVING} if there was none.
-         */
-        long leavingSince = NOT_LEAVING;
-
-        static final long NOT_LEAVING = Long.MAX_VALUE;
-
-        Server(long id, InetSocketAddress endpoint) {
-            this.id = id;
-            this.endpoint = endpoint;
-        }
-
-        /** Whether it drains or is not listed, so that no connection to it is kept. */
-        private boolean isLeaving() {
-            return !isListed || leavingSince != NOT_LEAVING;
-        }
-
-        /** Whether it has a connection or a waiting attempt. */
-        boolean isInUse() {
-            return connectionCount > 0 || !waitingAttempts.isEmpty();
-        }
-    }
-
-    /** One connection to a server. */
-    static final class Connection {
-        final long id;
-        final Server server;
-        Attempt attempt;
-        private final long openedAt;
-        private State state = State.OPENING;
-        private Deadline timeout;
-
-        private Connection(long id, Server server, long openedAt) {
-            this.id = id;
-            this.server = server;
-            this.openedAt = openedAt;
-        }
-    }
-
-    private enum State {
-        OPENING,
-        /** It has an attempt, or is about to get one. */
-        BUSY,
-        /** An answer has come, and the server has been asked to show that nothing follows it. */
-        SYNCHRONIZING,
-        /** As before, but for so long that attempts no longer wait for it. */
-        SYNCHRONIZING_LATE,
-        IDLE
-    }
-
     /**
      * The longest that attempts wait for a synchronization, as a ratio of the connect timeout. The rest of it is for
      * the connection that is opened then.
@@ -120,7 +37,7 @@
     private final DeadlineQueue deadlines;
     private final Owner owner;
     private final Limits limits;
-    private final Map<Long, Connection> connectionsById = new HashMap<>();
+    private final Map<Long, ServerConnection> connectionsById = new HashMap<>();
     private int maxConnections;
     private final Set<Server> serversAwaitingCapacity = new LinkedHashSet<>();
     private long nextConnectionId;
@@ -147,14 +64,14 @@
         return connectionsById.size();
     }
 
-    Connection get(long id) {
+    ServerConnection get(long id) {
         return connectionsById.get(id);
     }
 
     /** Finds a connection for the attempt: an idle one, one that is being synchronized, or one opened for it. */
     void assignConnection(long now, Attempt attempt) {
         Server server = attempt.server;
-        Connection idleConnection = takeIdleConnection(server);
+        ServerConnection idleConnection = takeIdleConnection(server);
         if (idleConnection != null) {
             if (!owner.writeAttempt(idleConnection, attempt)) {
                 rest(now, idleConnection);
@@ -173,14 +90,14 @@
     }
 
     /** Takes the idle connection that was used last; closes those on which something has been received. */
-    private Connection takeIdleConnection(Server server) {
+    private ServerConnection takeIdleConnection(Server server) {
         while (!server.idleConnections.isEmpty()) {
-            Connection candidate = server.idleConnections.peekFirst();
+            ServerConnection candidate = server.idleConnections.peekFirst();
             if (effects.hasNoUnreadData(candidate.id)) {
                 effects.count("connection", "warm");
                 server.idleConnections.removeFirst();
                 candidate.timeout.cancel();
-                candidate.state = State.BUSY;
+                candidate.state = ServerConnection.State.BUSY;
                 return candidate;
             }
             effects.count("ended", "not quiet when reused");
@@ -203,7 +120,7 @@
                 serversAwaitingCapacity.add(server);
                 return;
             }
-            Connection connection = new Connection(nextConnectionId++, server, now);
+            ServerConnection connection = new ServerConnection(nextConnectionId++, server, now);
             connectionsById.put(connection.id, connection);
             server.connectingCount++;
             server.connectionCount++;
@@ -221,8 +138,8 @@
      * {@code excluded}, only a connection whose synchronization is late is closed. Returns whether there was one.
      */
     private boolean closeIdleElsewhere(Server excluded) {
-        Connection oldest = null;
-        for (Connection candidate : connectionsById.values()) {
+        ServerConnection oldest = null;
+        for (ServerConnection candidate : connectionsById.values()) {
             if (isSpare(candidate, excluded) && (oldest == null || candidate.id < oldest.id)) {
                 oldest = candidate;
             }
@@ -234,7 +151,7 @@
         return oldest != null;
     }
 
-    private static boolean isSpare(Connection connection, Server excluded) {
+    private static boolean isSpare(ServerConnection connection, Server excluded) {
         return switch (connection.state) {
             case OPENING, BUSY -> false;
             case SYNCHRONIZING -> connection.server != excluded && connection.server.waitingAttempts.isEmpty();
@@ -244,7 +161,7 @@
     }
 
     /** Handles a connection that is established; nothing precedes its first answer, so it is free at once. */
-    void connectionEstablished(long now, Connection connection) {
+    void connectionEstablished(long now, ServerConnection connection) {
         connection.timeout.cancel();
         connection.server.connectingCount--;
         connection.server.openingNanos = now - connection.openedAt;
@@ -252,21 +169,21 @@
     }
 
     /** Handles the server's reply to the request to synchronize the connection, which is free from now on. */
-    void connectionSynchronized(long now, Connection connection) {
+    void connectionSynchronized(long now, ServerConnection connection) {
         connection.timeout.cancel();
         endSynchronization(connection);
         useOrRest(now, connection);
     }
 
-    private void useOrRest(long now, Connection connection) {
-        connection.state = State.BUSY;
+    private void useOrRest(long now, ServerConnection connection) {
+        connection.state = ServerConnection.State.BUSY;
         if (!serveWaitingAttempt(connection)) {
             rest(now, connection);
         }
     }
 
     /** Assigns the connection to the attempt that has waited longest; false if no attempt uses it. */
-    private boolean serveWaitingAttempt(Connection connection) {
+    private boolean serveWaitingAttempt(ServerConnection connection) {
         Set<Attempt> waitingAttempts = connection.server.waitingAttempts;
         while (!waitingAttempts.isEmpty()) {
             Attempt next = waitingAttempts.iterator().next();
@@ -282,14 +199,14 @@
      * Takes a connection back after an answer. It is synchronized before it is used again; a connection to a server
      * that is leaving is closed.
      */
-    void releaseConnection(long now, Connection connection) {
+    void releaseConnection(long now, ServerConnection connection) {
         Server server = connection.server;
         connection.attempt = null;
         if (server.isLeaving()) {
             closeConnection(connection);
             return;
         }
-        connection.state = State.SYNCHRONIZING;
+        connection.state = ServerConnection.State.SYNCHRONIZING;
         server.synchronizingConnections.add(connection);
         server.synchronizingInTimeCount++;
         long longestWait = (long) (limits.connectTimeout() * SYNCHRONIZATION_WAIT_RATIO);
@@ -302,10 +219,10 @@
      * Attempts that waited for the synchronization get new connections: waiting has cost as much as opening one takes,
      * and the server may never reply. The connection itself is closed later.
      */
-    private void synchronizationLate(long now, long startedAt, Connection connection) {
+    private void synchronizationLate(long now, long startedAt, ServerConnection connection) {
         effects.count("synchronization", "late");
         connection.server.synchronizingInTimeCount--;
-        connection.state = State.SYNCHRONIZING_LATE;
+        connection.state = ServerConnection.State.SYNCHRONIZING_LATE;
         connection.timeout = deadlines.schedule(startedAt + limits.connectTimeout(), () -> {
             effects.count("synchronization", "timeout");
             closeConnection(connection);
@@ -313,33 +230,33 @@
         openConnections(now, connection.server);
     }
 
-    private static void endSynchronization(Connection connection) {
+    private static void endSynchronization(ServerConnection connection) {
         boolean wasSynchronizing = connection.server.synchronizingConnections.remove(connection);
-        if (wasSynchronizing && connection.state == State.SYNCHRONIZING) {
+        if (wasSynchronizing && connection.state == ServerConnection.State.SYNCHRONIZING) {
             connection.server.synchronizingInTimeCount--;
         }
     }
 
     /** Makes a free connection idle until its idle timeout. */
-    private void rest(long now, Connection connection) {
+    private void rest(long now, ServerConnection connection) {
         Server server = connection.server;
         connection.attempt = null;
         if (server.isLeaving()) {
             closeConnection(connection);
             return;
         }
-        connection.state = State.IDLE;
+        connection.state = ServerConnection.State.IDLE;
         server.idleConnections.addFirst(connection);
         connection.timeout = deadlines.schedule(now + limits.idleTimeout(), () -> closeConnection(connection));
     }
 
     /** Closes and removes a connection; the caller ends the attempt on it, if there is one. */
-    void closeConnection(Connection connection) {
+    void closeConnection(ServerConnection connection) {
         effects.closeConnection(connection.id);
         removeConnection(connection);
     }
 
-    private void removeConnection(Connection connection) {
+    private void removeConnection(ServerConnection connection) {
         if (connectionsById.remove(connection.id) != null) {
             connection.server.connectionCount--;
             endSynchronization(connection);
@@ -349,7 +266,7 @@
     }
 
     /** Handles a connection that ended; {@code isServerFull} if the server said that it has too many connections. */
-    void connectionLost(long now, Connection connection, boolean isServerFull) {
+    void connectionLost(long now, ServerConnection connection, boolean isServerFull) {
         removeConnection(connection);
         Server server = connection.server;
         switch (connection.state) {
--- a/router/src/main/java/stoatrill/net/EventLoop.java
+++ b/router/src/main/java/stoatrill/net/EventLoop.java
@@ -27,7 +27,6 @@
 import stoatrill.core.Effects;
 import stoatrill.core.EventCounts;
 import stoatrill.core.Reducer;
-import stoatrill.core.ServerAnswer;
 import stoatrill.core.ServerEntry;
 import stoatrill.core.Statement;
 import stoatrill.discovery.DiscoveryClient;
@@ -47,7 +46,6 @@
  */
 public final class EventLoop implements Effects, DiscoveryClient.Environment {
     private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
-    private static final long NANOS_PER_MICRO = 1_000L;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long NANOS_PER_SECOND = 1_000 * NANOS_PER_MILLI;
     private static final int BUFFER_BYTES = 64 * 1024;
@@ -187,7 +185,8 @@
     private final LimitReport limitReport = new LimitReport();
     private final LogThrottle failureLines = new LogThrottle(LOG_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
     private final LogThrottle stateLines = new LogThrottle(STATE_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
-    private final LogThrottle surplusLines = new LogThrottle(LOG_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
+    private final SurplusDataLog surplusDataLog = new SurplusDataLog(
+            cause -> count("surplus", cause), new LogThrottle(LOG_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS));
     private final LogThrottle shortageLines = new LogThrottle(LOG_LINE_LIMIT_COUNT, LIMIT_REPORT_INTERVAL_NANOS);
     private final InputBudget inputBudget = new InputBudget();
     private final UnreadAnswers unreadAnswers = new UnreadAnswers();
@@ -321,7 +320,8 @@
         return now.getEpochSecond() * 1_000_000_000L + now.getNano();
     }
 
-    private long now() {
+    /** The time on the reducer's clock, in nanoseconds. */
+    long now() {
         return clocks.toModuleTime(System.nanoTime());
     }
 
@@ -1230,118 +1230,29 @@
 
     // ---- Servers ----
 
-    private final class ServerLink extends Link implements ServerProtocol.Environment {
-        private final long id;
-        private final InetSocketAddress endpoint;
-        private final ServerProtocol protocol;
-        private boolean isAwaitingAnswer;
-        private boolean isSynchronizing;
-        /** When the last answer was complete. */
-        private long answeredAt;
-
-        ServerLink(long id, InetSocketAddress endpoint) {
-            super(EventLoop.this);
-            this.id = id;
-            this.endpoint = endpoint;
-            this.protocol = serverProtocolFactory.apply(this);
-        }
-
-        @Override
-        void onConnected() {
-            write(protocol.startupMessage());
-        }
-
-        void sendQuery(byte[] query) {
-            isAwaitingAnswer = true;
-            write(query);
-        }
-
-        @Override
-        boolean mayWriteQueued() {
-            boolean mayWrite = !isAwaitingAnswer || reducer.mayWriteQuery(now(), id, isWriteProgressing());
-            if (!mayWrite) {
-                deferredTasks.add(() -> reducer.onQueryAbandoned(now(), id));
-            }
-            return mayWrite;
-        }
-
-        @Override
-        void onFlushed() {
-            if (isAwaitingAnswer) {
-                reducer.onQueryWritten(now(), id);
-            }
-        }
-
-        @Override
-        void enqueueEvents() {
-            readyServers.add(this);
-        }
-
-        @Override
-        void onReceived(ByteBuffer bytes) {
-            serverReadBytes += bytes.remaining();
-            protocol.receive(bytes);
-        }
-
-        @Override
-        void onLost() {
-            servers.remove(id);
-            protocol.onClosed();
-        }
-
-        @Override
-        public void onStartupComplete() {
-            reducer.onServerConnected(now(), id);
-        }
-
-        @Override
-        public void onAnswer(ServerAnswer answer, boolean reusable) {
-            isAwaitingAnswer = false;
-            answeredAt = now();
-            if (!reusable && isOpen()) {
-                recordSurplusData("behind an answer");
-            }
-            reducer.onServerAnswer(now(), id, answer, reusable);
-        }
+    /** Removes a server connection that has ended; returns whether it was open. */
+    boolean forgetServer(long connectionId) {
+        return servers.remove(connectionId) != null;
+    }
 
-        void synchronize() {
-            isSynchronizing = true;
-            writeInTurn(protocol.encodeSynchronization()); // behind the client's answer, which is queued already
-        }
+    /** Requests that what the selector found of a server connection is handled once it is its turn. */
+    void enqueueServer(ServerLink link) {
+        readyServers.add(link);
+    }
 
-        @Override
-        public void onSynchronized() {
-            isSynchronizing = false;
-            reducer.onServerSynchronized(now(), id);
-        }
+    /** Records bytes read from a server, which an iteration limits. */
+    void recordServerRead(int bytes) {
+        serverReadBytes += bytes;
+    }
 
-        @Override
-        public void onBroken(DisconnectCause kind) {
-            if (kind == DisconnectCause.SURPLUS) {
-                recordSurplusData(isSynchronizing ? "before synchronization" : "on an idle connection");
-            }
-            if (servers.remove(id) != null) {
-                closeSocket();
-            }
-            reducer.onServerConnectionLost(now(), id, kind);
-        }
-
-        /** Counts data that belongs to no query, and logs it; most of a flood of it is only counted. */
-        private void recordSurplusData(String circumstance) {
-            count("surplus", circumstance);
-            if (surplusLines.permits(System.nanoTime())) {
-                LOG.info(
-                        "server {} sent surplus data {}, {} us after its last answer was complete",
-                        endpoint,
-                        circumstance,
-                        (now() - answeredAt) / NANOS_PER_MICRO);
-            }
-        }
+    /** Runs a task once the event or effect at hand has returned. */
+    void runLater(Runnable task) {
+        deferredTasks.add(task);
     }
 
     @Override
     public void openConnection(long connectionId, InetSocketAddress endpoint) {
-        ServerLink link = new ServerLink(connectionId, endpoint);
+        ServerLink link = new ServerLink(this, reducer, serverProtocolFactory, surplusDataLog, connectionId, endpoint);
         CallResult<Connection> opened = poller.connect(endpoint, link);
         switch (opened.outcome()) {
             case PROGRESS -> {
@@ -1395,7 +1306,7 @@
             return;
         }
         if (reducer.mayWriteQuery(now(), connectionId, false)) {
-            link.sendQuery(link.protocol.encodeQuery(statement, waitMillis));
+            link.sendQuery(statement, waitMillis);
         } else {
             deferredTasks.add(() -> reducer.onQueryAbandoned(now(), connectionId));
         }
@@ -1405,7 +1316,7 @@
     public void sendProbe(long connectionId) {
         ServerLink link = servers.get(connectionId);
         if (link != null) {
-            link.sendQuery(link.protocol.encodeProbe());
+            link.sendProbe();
         }
     }
 
@@ -1501,10 +1412,7 @@
 
     @Override
     public void onSurplusData() {
-        count("surplus", "from discovery");
-        if (surplusLines.permits(System.nanoTime())) {
-            LOG.info("discovery at {} sent surplus data; its connection is closed", discoveryAddress);
-        }
+        surplusDataLog.recordDiscovery(discoveryAddress);
     }
 
     @Override
--- a/router/src/test/java/stoatrill/core/RequestGateTest.java
+++ b/router/src/test/java/stoatrill/core/RequestGateTest.java
@@ -23,13 +23,13 @@
 
     private Gateway.Settings settings;
     private RequestGate gate;
-    private ServerPool.Server replica;
+    private Server replica;
 
     @BeforeEach
     void setUp() throws Exception {
         settings = Config.parse(Scenario.defaultConfig(), Map.of()).settings();
         gate = new RequestGate(settings);
-        replica = new ServerPool.Server(1, new InetSocketAddress(InetAddress.getLoopbackAddress(), 9));
+        replica = new Server(1, new InetSocketAddress(InetAddress.getLoopbackAddress(), 9));
         replica.position = START_TIME;
     }
 
