--- a/lab/src/main/java/stoatrill/lab/scale/footprint/ServerSession.java
+++ b/lab/src/main/java/stoatrill/lab/scale/footprint/ServerSession.java
@@ -16,7 +16,7 @@
 
     /** What a router asked. */
     enum Event {
-        /** Whether the connection is in step; answered already. */
+        /** An empty query, which synchronizes the connection; answered already. */
         SYNCHRONIZATION,
         /** Answered already. */
         PROBE,
