--- a/lab/src/main/java/stoatrill/lab/rig/Relay.java
+++ b/lab/src/main/java/stoatrill/lab/rig/Relay.java
@@ -23,7 +23,7 @@
  *
  * <ul>
  *   <li>{@link #cut}: connections are refused (reset at once) and those open are reset, until it is healed;
- *   <li>{@link #resetAnswers}: the next so many answers (bytes from the target after bytes to it) are not passed:
+ *   <li>{@link #resetAnswers}: the next so many answers (bytes from the target after a statement to it) are not passed:
  *       both sides are reset instead, in the middle of a request whose statement has reached the target;
  *   <li>{@link #copyAnswers}: every so many answers are sent twice, the copy held back until the peer sends something,
  *       as a system without TCP_NODELAY may do;
@@ -190,11 +190,13 @@
                                     exchange.heldBackCopy = copyOf(chunk, n);
                                 }
                             } else {
-                                if (new String(chunk, 0, n, StandardCharsets.ISO_8859_1).contains("/* id=")) {
+                                boolean isStatement =
+                                        new String(chunk, 0, n, StandardCharsets.ISO_8859_1).contains("/* id=");
+                                if (isStatement) {
                                     statements.accept(peer);
                                 }
                                 synchronized (exchange) {
-                                    exchange.isAnswerDue = true;
+                                    exchange.isAnswerDue |= isStatement;
                                     releaseCopy(exchange, from);
                                 }
                             }
